--- /dev/null
+++ b/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
