--- /dev/null
+++ b/lib/src/overflow.rs
@@ -0,0 +1,71 @@
+//! How many waiting tasks go to which sibling, as a policy.
+
+use std::fmt::Debug;
+use std::time::Duration;
+
+use almondhead_macros::value;
+
+use crate::keys::SiblingKey;
+use crate::overflow_batched::BatchedOverflow;
+use crate::overflow_eager::EagerOverflow;
+use crate::policies::Prefer;
+
+/// The tasks of one service that wait here.
+#[value]
+#[derive(Copy)]
+pub struct OverflowNeed {
+    /// The waiting tasks that may be forwarded.
+    pub waiting_tasks: u32,
+    /// The slots that this entry instance owns.
+    pub own_slots: u32,
+    /// The slots of them that are free.
+    pub own_free: u32,
+    /// All tasks that wait here for a slot, those included.
+    pub queued_tasks: u32,
+    /// How long a task is expected to run.
+    pub run_estimate: Duration,
+    /// The time until the earliest deadline among the waiting tasks.
+    pub time_left: Duration,
+}
+
+/// What is known of a sibling entry instance, for one service.
+#[value]
+#[derive(Copy)]
+pub struct SiblingRoom {
+    /// The sibling.
+    pub sibling: SiblingKey,
+    /// Its free slots, less the tasks already on their way there.
+    pub free_slots: u32,
+    /// The tasks that wait there for a slot.
+    pub queued_tasks: u32,
+    /// The slots that it owns.
+    pub slots: u32,
+    /// The time of a message to it.
+    pub one_way: Duration,
+    /// Whether it is in this data centre.
+    pub same_data_centre: bool,
+}
+
+/// Tasks that go to one sibling, in one batch.
+#[value]
+#[derive(Copy)]
+pub struct OverflowShare {
+    /// The sibling.
+    pub sibling: SiblingKey,
+    /// How many tasks, never zero.
+    pub tasks: u32,
+}
+
+/// Splits waiting tasks among siblings.
+pub trait Overflow: Send + Debug {
+    /// The batches to forward; together no more than the waiting tasks beyond the own free slots.
+    fn split(&mut self, need: &OverflowNeed, siblings: &[SiblingRoom]) -> Vec<OverflowShare>;
+}
+
+/// The split for what the document weighs more.
+pub fn overflow_for(prefer: Prefer) -> Box<dyn Overflow> {
+    match prefer {
+        Prefer::ResponseTime => Box::new(EagerOverflow),
+        Prefer::FewerMessages => Box::new(BatchedOverflow),
+    }
+}
--- /dev/null
+++ b/lib/src/queue.rs
@@ -0,0 +1,67 @@
+//! The order in which queued jobs start their tasks, as a policy.
+
+use std::fmt::Debug;
+use std::time::Duration;
+
+use almondhead_macros::value;
+
+use crate::deadline_queue::DeadlineQueue;
+use crate::fair_queue::FairQueue;
+use crate::fifo_queue::FifoQueue;
+use crate::keys::JobKey;
+use crate::keys::TeamKey;
+use crate::policies::QueuePolicy;
+use crate::time::Timestamp;
+
+/// The most jobs that one call of [`JobQueue::next`] offers to `fits`.
+pub const SCAN_LIMIT: usize = 32;
+
+/// A job with tasks that have not started.
+#[value]
+#[derive(Copy)]
+pub struct QueueEntry {
+    /// The job.
+    pub job: JobKey,
+    /// Its team.
+    pub team: TeamKey,
+    /// The team's share, relative to the other teams' weights.
+    pub weight: u32,
+    /// The tasks of the job that have not ended, running ones included.
+    pub remaining: u32,
+    /// When the job is over, whatever has run.
+    pub deadline: Timestamp,
+}
+
+/// Orders the jobs that hold tasks to start.
+///
+/// A job is inserted when it is admitted, and removed with the start of its last task.
+pub trait JobQueue: Send + Debug {
+    /// Adds a job that arrived at `now`; a job already queued is replaced.
+    fn insert(&mut self, now: Timestamp, entry: QueueEntry);
+
+    /// Sets the tasks of a queued job that have not ended; an unknown job is ignored.
+    fn update(&mut self, job: JobKey, remaining: u32);
+
+    /// Takes a job out; an unknown job is ignored.
+    fn remove(&mut self, job: JobKey);
+
+    /// The first job in order that `fits`, without taking it out.
+    ///
+    /// After [`SCAN_LIMIT`] jobs that do not fit, the answer is none.
+    fn next(&mut self, now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey>;
+
+    /// Counts `cost`, the estimated run time of a task that starts, against its team's share.
+    fn charge(&mut self, team: TeamKey, weight: u32, cost: Duration);
+
+    /// How many jobs are queued.
+    fn jobs(&self) -> usize;
+}
+
+/// The queue that the document asks for.
+pub fn queue_for(policy: QueuePolicy) -> Box<dyn JobQueue> {
+    match policy {
+        QueuePolicy::FairFewestRemaining => Box::new(FairQueue::default()),
+        QueuePolicy::Fifo => Box::new(FifoQueue::default()),
+        QueuePolicy::EarliestDeadline => Box::new(DeadlineQueue::default()),
+    }
+}
--- /dev/null
+++ b/lib/src/round_robin.rs
@@ -0,0 +1,23 @@
+//! Each upstream in turn.
+
+use crate::choice::Candidate;
+use crate::choice::Choice;
+use crate::keys::UpstreamKey;
+
+/// Chooses the candidate whose key follows the last chosen one, whatever its load.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    last: Option<UpstreamKey>,
+}
+
+impl Choice for RoundRobin {
+    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
+        let last = self.last;
+        let (index, candidate) = candidates
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, candidate)| (Some(candidate.upstream) <= last, candidate.upstream))?;
+        self.last = Some(candidate.upstream);
+        Some(index)
+    }
+}
