dispatcher: decide jobs, attempts, claims, forwards and batches

The right to start a job's tasks belongs to one incarnation of one entry instance and is never handed over, so that no failure detector has to be right: a resubmission joins the running job, is answered from the kept answer, or is told that the answer is not known. The dispatcher takes events and gives actions; policies stay behind the traits of their modules.

--- a/lib/src/action.rs
+++ b/lib/src/action.rs
@@ -43,6 +43,15 @@
         /// The key.
         key: Arc<str>,
     },
+    /// Read from the platform's table who claimed an idempotency key.
+    FindHome {
+        /// The number under which the end is reported as a claim's.
+        claim: u64,
+        /// The team that the key belongs to.
+        team: Arc<str>,
+        /// The key.
+        key: Arc<str>,
+    },
     /// Send a message to another entry instance; it may be lost.
     SendPeer {
         /// The instance's name.
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use almondhead_macros::value;
+use bytes::Bytes;
 
 use crate::document::Document;
 use crate::id::AttemptId;
@@ -66,12 +67,26 @@
         /// The message.
         message: PeerMessage,
     },
-    /// A higher revision of the document is in force.
+    /// A message of [`crate::action::Action::SendPeer`] was dropped before a byte of it was sent.
+    PeerNotSent {
+        /// The instance that it was for.
+        instance: Arc<str>,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// The wall clock was read, for times that the document names.
+    WallClockRead {
+        /// Milliseconds since the Unix epoch.
+        unix_ms: u64,
+    },
+    /// A higher revision of the document was read.
     DocumentInstalled {
         /// The revision.
         revision: u64,
         /// The document.
         document: Arc<Document>,
+        /// Its text as submitted, to pass on to siblings.
+        text: Bytes,
     },
     /// What is known of live and leaving instances changed.
     MembershipChanged(Membership),
@@ -98,6 +113,8 @@
     Ours,
     /// The key belongs to another incarnation, which is the job's home.
     Theirs(PeerIdentity),
+    /// Nobody claimed the key; only [`crate::action::Action::FindHome`] ends so.
+    Unclaimed,
     /// The table could not be reached, and the key is not known to be ours.
     Unavailable,
 }
--- /dev/null
+++ b/lib/src/forwarding.rs
@@ -0,0 +1,147 @@
+//! Handing callers' requests to the homes of their jobs, and answering those of siblings.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::Timer;
+use crate::event::PeerIdentity;
+use crate::forward_table::Forward;
+use crate::id::Incarnation;
+use crate::id::JobAddress;
+use crate::job::Waiter;
+use crate::keys::SiblingKey;
+use crate::outcome::FailReason;
+use crate::outcome::JobAnswer;
+use crate::peer_message::ForwardedRequest;
+use crate::peer_message::PeerMessage;
+use crate::submitting::RETRY_SOON;
+
+/// How often a home that has not answered a forwarded request is checked.
+const FORWARD_CHECK: Duration = Duration::from_millis(500);
+
+/// How long a home may be silent before its callers are told that it cannot be reached.
+const HOME_SILENCE: Duration = Duration::from_secs(2);
+
+impl Dispatcher {
+    /// Hands a request to its job's home, or answers at once that the home is gone or unknown.
+    pub(crate) fn forward(
+        &mut self,
+        waiter: Waiter,
+        instance: Arc<str>,
+        home: Incarnation,
+        address: &JobAddress,
+        request: ForwardedRequest,
+    ) {
+        let replaced = instance == self.config.instance;
+        if replaced || self.siblings.has_ended(home) {
+            return self.answer_failed(waiter, FailReason::HomeGone, None);
+        }
+        if matches!(waiter, Waiter::Sibling { .. }) || self.siblings.by_name(&instance).is_none() {
+            let retry_after = Some(RETRY_SOON);
+            return self.answer_failed(waiter, FailReason::HomeUnreachable, retry_after);
+        }
+        let forward = Forward {
+            waiter,
+            instance: instance.clone(),
+            home,
+            sent_at: self.now,
+        };
+        let correlation = self.forwards.insert(forward);
+        let check_at = self.now + FORWARD_CHECK;
+        self.timers.subscribe(check_at, Timer::Forward(correlation));
+        let message = PeerMessage::ForwardRequest {
+            correlation,
+            home,
+            address: address.clone(),
+            request,
+        };
+        self.send_peer(instance, message);
+    }
+
+    /// Checks that the home of an unanswered request still speaks.
+    pub(crate) fn overdue_forward(&mut self, correlation: u64) {
+        let Some(forward) = self.forwards.get(correlation) else {
+            return;
+        };
+        let instance = forward.instance.clone();
+        let sibling = self.siblings.by_name(&instance);
+        let heard_at = sibling.and_then(|key| self.siblings.get(key)?.heard_at);
+        let last_sign = heard_at.unwrap_or_default().max(forward.sent_at);
+        if self.now.since(last_sign) >= HOME_SILENCE {
+            self.fail_forward(correlation, FailReason::HomeUnreachable);
+            return;
+        }
+        let check_at = self.now + FORWARD_CHECK;
+        self.timers.subscribe(check_at, Timer::Forward(correlation));
+        let have_revision = self.plan.revision;
+        self.send_peer(instance, PeerMessage::DocumentRequest { have_revision });
+    }
+
+    /// Answers the caller of a forwarded request that its home gives no answer.
+    pub(crate) fn fail_forward(&mut self, correlation: u64, reason: FailReason) {
+        let Some(forward) = self.forwards.remove(correlation) else {
+            return;
+        };
+        let retry_after = (reason == FailReason::HomeUnreachable).then_some(RETRY_SOON);
+        self.answer_failed(forward.waiter, reason, retry_after);
+    }
+
+    /// Fails the forwards to earlier incarnations of a sibling that restarted.
+    pub(crate) fn fail_forwards_of(&mut self, instance: &str, alive: Incarnation) {
+        for forward in self.forwards.remove_gone(instance, alive) {
+            self.answer_failed(forward.waiter, FailReason::HomeGone, None);
+        }
+    }
+
+    /// Takes a request that a sibling forwarded.
+    pub(crate) fn take_forward(
+        &mut self,
+        sender: &PeerIdentity,
+        sibling: SiblingKey,
+        correlation: u64,
+        home: Incarnation,
+        address: &JobAddress,
+        request: &ForwardedRequest,
+    ) {
+        let instance = sender.instance.clone();
+        if home != self.config.incarnation {
+            let message = PeerMessage::HomeGone { correlation };
+            return self.send_peer(instance, message);
+        }
+        let state = self.siblings.get_mut(sibling);
+        if !state.is_some_and(|state| state.record_request(correlation)) {
+            return;
+        }
+        let waiter = Waiter::Sibling {
+            instance,
+            correlation,
+        };
+        match request {
+            ForwardedRequest::Submit(submission) => self.submit(waiter, address, submission),
+            ForwardedRequest::LookUp => self.look_up(waiter, address),
+            ForwardedRequest::Cancel => self.cancel(waiter, address),
+        }
+    }
+
+    /// Passes a home's answer on to the caller.
+    pub(crate) fn take_forward_answer(&mut self, correlation: u64, answer: JobAnswer) {
+        if let Some(forward) = self.forwards.remove(correlation) {
+            self.answer(forward.waiter, Arc::new(answer));
+        }
+    }
+
+    /// Answers a request that a sibling forwarded.
+    pub(crate) fn answer_sibling(
+        &mut self,
+        instance: Arc<str>,
+        correlation: u64,
+        answer: &JobAnswer,
+    ) {
+        let message = PeerMessage::RequestAnswer {
+            correlation,
+            answer: answer.clone(),
+        };
+        self.send_peer(instance, message);
+    }
+}
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -13,6 +13,8 @@
 pub struct Membership {
     /// Entry instances other than this one.
     pub siblings: Vec<Sibling>,
+    /// Incarnations of entry instances that the platform listed before and that have ended.
+    pub ended: Vec<Incarnation>,
     /// The names of upstreams that the platform lists as leaving.
     pub leaving_upstreams: Vec<Arc<str>>,
 }
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -76,18 +76,15 @@
     /// The platform's table cannot be reached to claim the key.
     #[display("idempotency key cannot be claimed")]
     ClaimUnavailable,
-    /// The number is older than the session's window.
-    #[display("job number too old")]
-    NumberExpired,
-    /// The session's home is gone or this is not its home.
-    #[display("session is not open here")]
-    SessionClosed,
+    /// No job was submitted under this address.
+    #[display("not submitted")]
+    NotSubmitted,
     /// No upstream took the tasks; each refused or could not be reached.
     #[display("no upstream took the task")]
     NotTaken,
-    /// The home could not be reached; the job was not handed over.
-    #[display("home instance not reachable")]
-    HomeUnreachable,
+    /// This entry instance holds its bound of jobs or sessions.
+    #[display("too many open jobs")]
+    TooManyJobs,
 }
 
 /// Why a job failed of which something ran, or may have.
--- /dev/null
+++ b/lib/src/replay_window.rs
@@ -0,0 +1,35 @@
+//! Telling numbers that came before from new ones, in bounded memory.
+
+use std::collections::BTreeSet;
+
+/// Remembers the highest numbers seen; a number below all of them counts as seen.
+#[derive(Debug)]
+pub struct ReplayWindow {
+    capacity: usize,
+    low: u64,
+    seen: BTreeSet<u64>,
+}
+
+impl ReplayWindow {
+    /// A window that remembers at most `capacity` numbers.
+    pub fn new(capacity: usize) -> Self {
+        ReplayWindow {
+            capacity,
+            low: 0,
+            seen: BTreeSet::new(),
+        }
+    }
+
+    /// Records `number` and says whether it is new for certain.
+    pub fn record(&mut self, number: u64) -> bool {
+        if number < self.low || !self.seen.insert(number) {
+            return false;
+        }
+        if self.seen.len() > self.capacity
+            && let Some(lowest) = self.seen.pop_first()
+        {
+            self.low = lowest + 1;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/lib/src/sibling_table.rs
@@ -0,0 +1,213 @@
+//! The other entry instances: what they told of themselves, and what was sent to them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use slotmap::SlotMap;
+
+use crate::id::BatchId;
+use crate::id::Incarnation;
+use crate::keys::SiblingKey;
+use crate::membership::Membership;
+use crate::membership::Sibling;
+use crate::peer_message::LoadDigest;
+use crate::peer_message::ServiceLoad;
+use crate::replay_window::ReplayWindow;
+use crate::time::Timestamp;
+
+/// How long a sibling may be silent before no work is forwarded to it.
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// How many of a sibling's latest message numbers are remembered.
+const REPLAY_NUMBERS: usize = 4_096;
+
+/// One sibling entry instance.
+#[derive(Debug)]
+pub(crate) struct SiblingState {
+    pub(crate) listed: Sibling,
+    pub(crate) one_way: Duration,
+    /// The incarnation that sent the last message.
+    pub(crate) incarnation: Option<Incarnation>,
+    pub(crate) heard_at: Option<Timestamp>,
+    pub(crate) digest: LoadDigest,
+    last_batch: u64,
+    batches_seen: ReplayWindow,
+    requests_seen: ReplayWindow,
+}
+
+impl SiblingState {
+    fn new(listed: Sibling, one_way: Duration) -> Self {
+        SiblingState {
+            listed,
+            one_way,
+            incarnation: None,
+            heard_at: None,
+            digest: LoadDigest::default(),
+            last_batch: 0,
+            batches_seen: ReplayWindow::new(REPLAY_NUMBERS),
+            requests_seen: ReplayWindow::new(REPLAY_NUMBERS),
+        }
+    }
+
+    /// Whether it spoke lately.
+    pub(crate) fn is_heard(&self, now: Timestamp) -> bool {
+        self.heard_at
+            .is_some_and(|heard_at| now.since(heard_at) < SILENCE_LIMIT)
+    }
+
+    /// Whether it may be sent work.
+    pub(crate) fn takes_work(&self, now: Timestamp) -> bool {
+        self.is_heard(now) && !self.listed.leaving && !self.digest.leaving
+    }
+
+    /// Its load for a service, as last told, less what was sent since.
+    pub(crate) fn load(&self, service: &str) -> Option<&ServiceLoad> {
+        self.digest
+            .services
+            .iter()
+            .find(|load| &*load.service == service)
+    }
+
+    /// Counts tasks that were sent to it against its free slots.
+    pub(crate) fn take_room(&mut self, service: &str, tasks: u32) {
+        let load = self.digest.services.iter_mut();
+        let Some(load) = load.into_iter().find(|load| &*load.service == service) else {
+            return;
+        };
+        let waiting = tasks.saturating_sub(load.free_slots);
+        load.free_slots = load.free_slots.saturating_sub(tasks);
+        load.queued_tasks += waiting;
+    }
+
+    /// Forgets its free slots until the next digest.
+    pub(crate) fn clear_room(&mut self) {
+        for load in &mut self.digest.services {
+            load.free_slots = 0;
+        }
+    }
+
+    /// The number of the next batch to it.
+    pub(crate) fn next_batch(&mut self) -> BatchId {
+        self.last_batch += 1;
+        BatchId(self.last_batch)
+    }
+
+    /// Records a batch that came from it and says whether it is new.
+    pub(crate) fn record_batch(&mut self, batch: BatchId) -> bool {
+        self.batches_seen.record(batch.0)
+    }
+
+    /// Records a request that came from it and says whether it is new.
+    pub(crate) fn record_request(&mut self, correlation: u64) -> bool {
+        self.requests_seen.record(correlation)
+    }
+
+    fn restart(&mut self, incarnation: Incarnation) {
+        self.incarnation = Some(incarnation);
+        self.digest = LoadDigest::default();
+        self.batches_seen = ReplayWindow::new(REPLAY_NUMBERS);
+        self.requests_seen = ReplayWindow::new(REPLAY_NUMBERS);
+    }
+}
+
+/// All siblings, found by name.
+#[derive(Debug, Default)]
+pub(crate) struct SiblingTable {
+    siblings: SlotMap<SiblingKey, SiblingState>,
+    names: IndexMap<Arc<str>, SiblingKey>,
+    ended: BTreeSet<Incarnation>,
+}
+
+impl SiblingTable {
+    /// Takes over a membership; `one_way` gives the distance to a data centre.
+    ///
+    /// Gives the siblings that are no longer listed.
+    pub(crate) fn update(
+        &mut self,
+        membership: &Membership,
+        one_way: impl Fn(&str) -> Duration,
+    ) -> Vec<SiblingKey> {
+        self.ended = membership.ended.iter().copied().collect();
+        for listed in &membership.siblings {
+            let distance = one_way(&listed.data_centre);
+            let known = self.names.get(&listed.name).copied();
+            if let Some(key) = known {
+                let state = &mut self.siblings[key];
+                state.listed = listed.clone();
+                state.one_way = distance;
+                continue;
+            }
+            let state = SiblingState::new(listed.clone(), distance);
+            let key = self.siblings.insert(state);
+            self.names.insert(listed.name.clone(), key);
+        }
+        let listed = |name: &str| membership.siblings.iter().any(|s| &*s.name == name);
+        let names = self.names.iter();
+        let dropped: Vec<SiblingKey> = names
+            .filter(|(name, _)| !listed(name))
+            .map(|(_, key)| *key)
+            .collect();
+        self.names.retain(|name, _| listed(name));
+        for key in &dropped {
+            self.siblings.remove(*key);
+        }
+        dropped
+    }
+
+    /// Notes that a message came; true when the sender restarted since its last one.
+    pub(crate) fn heard(
+        &mut self,
+        key: SiblingKey,
+        now: Timestamp,
+        incarnation: Incarnation,
+    ) -> bool {
+        let state = &mut self.siblings[key];
+        state.heard_at = Some(now);
+        if state.incarnation == Some(incarnation) {
+            return false;
+        }
+        let restarted = state.incarnation.is_some();
+        state.restart(incarnation);
+        restarted
+    }
+
+    /// Whether an incarnation is known to have ended.
+    pub(crate) fn has_ended(&self, incarnation: Incarnation) -> bool {
+        self.ended.contains(&incarnation)
+    }
+
+    /// The sibling of this name.
+    pub(crate) fn by_name(&self, name: &str) -> Option<SiblingKey> {
+        self.names.get(name).copied()
+    }
+
+    /// The sibling of this key, when it is still listed.
+    pub(crate) fn get(&self, key: SiblingKey) -> Option<&SiblingState> {
+        self.siblings.get(key)
+    }
+
+    /// The sibling of this key, when it is still listed.
+    pub(crate) fn get_mut(&mut self, key: SiblingKey) -> Option<&mut SiblingState> {
+        self.siblings.get_mut(key)
+    }
+
+    /// All siblings in the order in which they were first listed.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (SiblingKey, &SiblingState)> {
+        self.names.values().map(|key| (*key, &self.siblings[*key]))
+    }
+
+    /// The nearest siblings that take part, at most `count`.
+    pub(crate) fn nearest(&self, count: usize) -> Vec<SiblingKey> {
+        let mut keys: Vec<SiblingKey> = self.names.values().copied().collect();
+        keys.sort_by_key(|key| self.siblings[*key].one_way);
+        keys.truncate(count);
+        keys
+    }
+
+    /// The siblings listed.
+    pub(crate) fn len(&self) -> usize {
+        self.names.len()
+    }
+}
--- /dev/null
+++ b/lib/src/starting.rs
@@ -0,0 +1,352 @@
+//! Starting tasks at upstreams, and taking in how their attempts ended.
+
+use crate::action::Action;
+use crate::action::Attempt;
+use crate::choice::Candidate;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::Timer;
+use crate::health::HealthChange;
+use crate::id::AttemptId;
+use crate::id::JobAddress;
+use crate::job::JobOrigin;
+use crate::job::JobStage;
+use crate::job::TaskState;
+use crate::keys::JobKey;
+use crate::keys::ServiceKey;
+use crate::keys::UpstreamKey;
+use crate::outcome::AttemptEnd;
+use crate::outcome::FailReason;
+use crate::outcome::JobAnswer;
+use crate::outcome::NotRunReason;
+use crate::outcome::NotStartedCause;
+use crate::peer_message::TaskEnd;
+use crate::running_attempt::RunningAttempt;
+use crate::submission::Needs;
+use crate::submitting::RETRY_SOON;
+
+/// The most attempts at one task that may end as not started.
+const MAX_REFUSED_ATTEMPTS: u32 = 8;
+
+/// A free slot, for tasks whose needs its upstream meets.
+struct FreeUpstream {
+    candidate: Candidate,
+    has: Needs,
+}
+
+impl Dispatcher {
+    /// Starts and forwards what can be started in every service that changed.
+    pub(crate) fn dispatch_dirty(&mut self) {
+        while let Some(service) = self.dirty.pop() {
+            while self.start_next(service) {}
+            self.forward_overflow(service);
+        }
+    }
+
+    /// Starts the next task of a service; false when none can start.
+    fn start_next(&mut self, service_key: ServiceKey) -> bool {
+        let free = self.free_upstreams(service_key);
+        if free.is_empty() {
+            return false;
+        }
+        let Some(service) = self.plan.services.get_mut(service_key) else {
+            return false;
+        };
+        let jobs = &self.jobs;
+        let fits = |job: JobKey| {
+            let needs = jobs.get(job).map(|job| job.needs);
+            needs.is_some_and(|needs| free.iter().any(|upstream| covers(upstream.has, needs)))
+        };
+        let Some(job) = service.queue.next(self.now, &mut { fits }) else {
+            return false;
+        };
+        let needs = jobs[job].needs;
+        let candidates = free
+            .into_iter()
+            .filter(|upstream| covers(upstream.has, needs));
+        let candidates: Vec<Candidate> = candidates.map(|upstream| upstream.candidate).collect();
+        let Some(chosen) = service.choice.choose(&candidates) else {
+            return false;
+        };
+        let upstream = candidates[chosen].upstream;
+        self.start_task(service_key, job, upstream);
+        true
+    }
+
+    fn free_upstreams(&self, service_key: ServiceKey) -> Vec<FreeUpstream> {
+        let Some(service) = self.plan.services.get(service_key) else {
+            return Vec::new();
+        };
+        if service.queued_tasks == 0 {
+            return Vec::new();
+        }
+        let unix_ms = self.unix_now_ms();
+        let upstreams = service.upstreams.iter();
+        let free = upstreams.filter_map(|key| {
+            let upstream = &self.plan.upstreams[*key];
+            let candidate = Candidate {
+                upstream: *key,
+                in_flight: upstream.in_flight,
+                slots: upstream.effective_slots,
+                recent_latency_us: upstream.latency.recent_us(),
+            };
+            let has = upstream.has;
+            let has_room = upstream.has_room(self.now, unix_ms);
+            has_room.then_some(FreeUpstream { candidate, has })
+        });
+        free.collect()
+    }
+
+    fn start_task(&mut self, service_key: ServiceKey, key: JobKey, upstream_key: UpstreamKey) {
+        let Some(index) = self.take_waiting(key) else {
+            return;
+        };
+        let attempt = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        let service = &mut self.plan.services[service_key];
+        service.running += 1;
+        let upstream = &mut self.plan.upstreams[upstream_key];
+        upstream.in_flight += 1;
+        let job = &mut self.jobs[key];
+        job.set_in_flight(index, TaskState::Running(attempt));
+        let task = &job.tasks[index as usize];
+        self.counts.attempts += 1;
+        if task.refused_attempts == 0 {
+            service.retries.on_first_attempt();
+        } else {
+            self.counts.retries += 1;
+        }
+        self.actions.push(Action::StartAttempt(Attempt {
+            attempt,
+            target: upstream.target.clone(),
+            task: task.id,
+            input: task.input.clone(),
+            start_before: job.deadline,
+            give_up_at: job.deadline,
+            traceparent: job.traceparent.clone(),
+        }));
+        let running = RunningAttempt {
+            job: key,
+            index,
+            service: service_key,
+            upstream: upstream_key,
+            started_at: self.now,
+        };
+        self.attempts.insert(attempt, running);
+    }
+
+    /// Takes a job's next waiting task out of the queue and gives its index.
+    pub(crate) fn take_waiting(&mut self, key: JobKey) -> Option<u32> {
+        let job = self.jobs.get_mut(key)?;
+        let index = job.take_waiting()?;
+        let service = &mut self.plan.services[job.service];
+        service.queued_tasks -= 1;
+        let weight = self.plan.teams.get(job.team);
+        let weight = weight.map_or(1, |team| team.settings.weight);
+        let cost = service.estimate.reading(None).mean;
+        service.queue.charge(job.team, weight, cost);
+        if job.waiting.is_empty() {
+            service.queue.remove(key);
+        }
+        Some(index)
+    }
+
+    /// Takes in how an attempt ended.
+    pub(crate) fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd) {
+        let Some(running) = self.attempts.swap_remove(&attempt) else {
+            return;
+        };
+        self.record_end(&running, &end);
+        self.mark_dirty(running.service);
+        let Some(job) = self.jobs.get(running.job) else {
+            return;
+        };
+        let task = job.tasks.get(running.index as usize);
+        let current = matches!(task, Some(task) if is_running(&task.state, attempt));
+        if job.stage == JobStage::Open && current {
+            self.end_task(running.job, running.index, end);
+        }
+    }
+
+    /// Learns from the end of an attempt, whether or not its job still waits for it.
+    fn record_end(&mut self, running: &RunningAttempt, end: &AttemptEnd) {
+        let took = self.now.since(running.started_at);
+        let declared = self.jobs.get(running.job).and_then(|job| job.declared_run);
+        if let Some(service) = self.plan.services.get_mut(running.service) {
+            service.running -= 1;
+            if matches!(end, AttemptEnd::Finished { .. }) {
+                service.record_run(declared, took);
+            }
+        }
+        let Some(upstream) = self.plan.upstreams.get_mut(running.upstream) else {
+            return;
+        };
+        upstream.in_flight -= 1;
+        match end {
+            AttemptEnd::Finished { .. } => {
+                self.counts.upstream_answers += 1;
+                upstream.health.on_success(self.now);
+                upstream.latency.record(took);
+            }
+            AttemptEnd::TaskFailed { .. } => {
+                self.counts.upstream_answers += 1;
+                self.record_failure(running);
+            }
+            AttemptEnd::NotStarted(NotStartedCause::Refused) => {
+                self.counts.refusals += 1;
+                upstream.health.on_refusal(self.now);
+                upstream.pause(self.now);
+                let resumes_at = upstream.paused_until;
+                self.timers
+                    .subscribe(resumes_at, Timer::Dispatch(running.service));
+            }
+            AttemptEnd::NotStarted(NotStartedCause::PastDeadline) => self.counts.refusals += 1,
+            AttemptEnd::NotStarted(NotStartedCause::NotSent) => {
+                self.counts.refusals += 1;
+                self.record_failure(running);
+            }
+            AttemptEnd::Unknown(_) => self.record_failure(running),
+        }
+    }
+
+    /// Ends a task of an open job, or puts it back to be tried elsewhere.
+    pub(crate) fn end_task(&mut self, key: JobKey, index: u32, end: AttemptEnd) {
+        match end {
+            AttemptEnd::Finished { body } => self.finish_task(key, index, body),
+            AttemptEnd::NotStarted(cause) => self.task_not_started(key, index, cause),
+            AttemptEnd::TaskFailed { status } => {
+                let end = AttemptEnd::TaskFailed { status };
+                self.fail_task(key, index, end, FailReason::TaskFailed);
+            }
+            AttemptEnd::Unknown(cause) => {
+                if self.may_repeat(key) {
+                    return self.put_back(key, index);
+                }
+                let end = AttemptEnd::Unknown(cause);
+                self.fail_task(key, index, end, FailReason::Unknown);
+            }
+        }
+    }
+
+    fn finish_task(&mut self, key: JobKey, index: u32, body: bytes::Bytes) {
+        let job = &mut self.jobs[key];
+        job.finish_task(index, body);
+        let (service, team, remaining) = (job.service, job.team, job.remaining());
+        if let Some(team) = self.plan.teams.get_mut(team) {
+            team.quota.on_task_ended(1);
+        }
+        self.plan.services[service].queue.update(key, remaining);
+        if self.jobs[key].is_finished() {
+            self.complete_job(key);
+        }
+    }
+
+    /// Whether a task with an unknown end may run again.
+    fn may_repeat(&mut self, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        let single = match &job.origin {
+            JobOrigin::Callers { address, .. } => *address == JobAddress::Single,
+            JobOrigin::Batch { .. } => false,
+        };
+        let service = &mut self.plan.services[job.service];
+        let allowed = job.idempotent && single && job.tasks.len() == 1;
+        allowed && service.settings.retry_unknown && service.retries.try_retry()
+    }
+
+    fn task_not_started(&mut self, key: JobKey, index: u32, cause: NotStartedCause) {
+        let job = &self.jobs[key];
+        let past = cause == NotStartedCause::PastDeadline || self.now >= job.deadline;
+        let refused = job.tasks[index as usize].refused_attempts;
+        let service = &mut self.plan.services[job.service];
+        let exhausted = refused >= MAX_REFUSED_ATTEMPTS;
+        if !past && !exhausted && service.retries.try_retry() {
+            return self.put_back(key, index);
+        }
+        self.give_task_up(key, index, cause);
+    }
+
+    fn give_task_up(&mut self, key: JobKey, index: u32, cause: NotStartedCause) {
+        let job = &mut self.jobs[key];
+        job.put_back(index);
+        let (not_run, failed) = match cause {
+            NotStartedCause::PastDeadline => {
+                (NotRunReason::DeadlinePassed, FailReason::DeadlinePassed)
+            }
+            _ => (NotRunReason::NotTaken, FailReason::NotTaken),
+        };
+        if let JobOrigin::Batch { ends, .. } = &mut job.origin {
+            job.waiting.pop_front();
+            let task = &mut job.tasks[index as usize];
+            task.state = TaskState::Ended;
+            job.open_tasks -= 1;
+            ends.push(TaskEnd {
+                task: task.id,
+                end: AttemptEnd::NotStarted(cause),
+            });
+            if job.is_finished() {
+                self.complete_job(key);
+            }
+            return;
+        }
+        let queued = &mut self.plan.services[job.service].queued_tasks;
+        *queued += 1;
+        self.end_unfinished(key, not_run, failed, Some(RETRY_SOON));
+    }
+
+    /// Puts a task in flight back in the queue.
+    pub(crate) fn put_back(&mut self, key: JobKey, index: u32) {
+        let job = &mut self.jobs[key];
+        let was_waiting = !job.waiting.is_empty();
+        job.put_back(index);
+        let service_key = job.service;
+        if was_waiting {
+            self.plan.services[service_key].queued_tasks += 1;
+            self.mark_dirty(service_key);
+            return;
+        }
+        self.enqueue(key);
+    }
+
+    fn fail_task(&mut self, key: JobKey, index: u32, end: AttemptEnd, reason: FailReason) {
+        let job = &mut self.jobs[key];
+        job.ran = true;
+        job.in_flight -= 1;
+        let task = &mut job.tasks[index as usize];
+        task.state = TaskState::Ended;
+        if let JobOrigin::Batch { ends, .. } = &mut job.origin {
+            ends.push(TaskEnd { task: task.id, end });
+            return self.complete_job(key);
+        }
+        let answer = JobAnswer::Failed {
+            reason,
+            task: Some(index),
+            retry_after: None,
+        };
+        self.end_job(key, answer);
+    }
+
+    /// Counts a failure against an upstream, and looks again when it may be tried.
+    fn record_failure(&mut self, running: &RunningAttempt) {
+        if !self.plan.policies().eject_failing {
+            return;
+        }
+        let upstream = &mut self.plan.upstreams[running.upstream];
+        if upstream.health.on_failure(self.now) == HealthChange::Ejected {
+            self.plan.review_ejections(self.now, running.service);
+        }
+        let upstream = &self.plan.upstreams[running.upstream];
+        if let Some(retry_at) = upstream.health.next_change(self.now) {
+            let timer = Timer::Dispatch(running.service);
+            self.timers.subscribe(retry_at, timer);
+        }
+    }
+}
+
+fn is_running(state: &TaskState, attempt: AttemptId) -> bool {
+    matches!(state, TaskState::Running(running) if *running == attempt)
+}
+
+fn covers(has: Needs, needs: Needs) -> bool {
+    has.cores >= needs.cores
+        && has.memory_mib >= needs.memory_mib
+        && has.accelerators >= needs.accelerators
+}
--- /dev/null
+++ b/lib/src/submitting.rs
@@ -0,0 +1,431 @@
+//! Taking in jobs: where they belong, and whether they may run.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::action::Action;
+use crate::admission::AdmissionLoad;
+use crate::admission::Refusal;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::Timer;
+use crate::id::JobAddress;
+use crate::id::SessionId;
+use crate::id::TaskId;
+use crate::job::Job;
+use crate::job::JobOrigin;
+use crate::job::JobStage;
+use crate::job::Task;
+use crate::job::TaskState;
+use crate::job::Waiter;
+use crate::key_table::KeyName;
+use crate::key_table::KeyState;
+use crate::keys::JobKey;
+use crate::keys::ServiceKey;
+use crate::keys::TeamKey;
+use crate::outcome::FailReason;
+use crate::outcome::JobAnswer;
+use crate::outcome::NotRunReason;
+use crate::peer_message::ForwardedRequest;
+use crate::policies::PlacementPolicy;
+use crate::queue::QueueEntry;
+use crate::session::NumberState;
+use crate::submission::Needs;
+use crate::submission::Submission;
+use crate::time::Timestamp;
+
+/// When to come back where nothing better is known.
+pub(crate) const RETRY_SOON: Duration = Duration::from_secs(1);
+
+/// The parts of a submission that passed every check.
+struct Accepted {
+    service: ServiceKey,
+    team: TeamKey,
+    deadline: Timestamp,
+}
+
+impl Dispatcher {
+    /// Takes a submission from a caller or, at its home, from a sibling.
+    pub(crate) fn submit(
+        &mut self,
+        waiter: Waiter,
+        address: &JobAddress,
+        submission: &Arc<Submission>,
+    ) {
+        match address {
+            JobAddress::Single => self.open_job(waiter, address, submission, JobStage::Open),
+            JobAddress::Session { session, number } => {
+                self.submit_in_session(waiter, session, *number, submission);
+            }
+            JobAddress::Key { team, key } => {
+                let name = KeyName {
+                    team: team.clone(),
+                    key: key.clone(),
+                };
+                self.submit_by_key(waiter, address, &name, submission);
+            }
+        }
+    }
+
+    fn submit_in_session(
+        &mut self,
+        waiter: Waiter,
+        session: &SessionId,
+        number: u64,
+        submission: &Arc<Submission>,
+    ) {
+        let address = JobAddress::Session {
+            session: session.clone(),
+            number,
+        };
+        if session.home != self.config.incarnation {
+            let request = ForwardedRequest::Submit(submission.clone());
+            let instance = session.instance.clone();
+            return self.forward(waiter, instance, session.home, &address, request);
+        }
+        match self.sessions.state(self.now, session.number, number) {
+            NumberState::Unused => self.open_job(waiter, &address, submission, JobStage::Open),
+            NumberState::Job(job) => self.join(waiter, job, Some(fingerprint(submission))),
+            NumberState::Cancelled => self.answer_not_run(waiter, NotRunReason::Cancelled, None),
+            NumberState::Expired => self.answer_failed(waiter, FailReason::AnswerExpired, None),
+        }
+    }
+
+    fn submit_by_key(
+        &mut self,
+        waiter: Waiter,
+        address: &JobAddress,
+        name: &KeyName,
+        submission: &Arc<Submission>,
+    ) {
+        let forwarded = matches!(waiter, Waiter::Sibling { .. });
+        match self.keys.state(name) {
+            KeyState::Job(job) => self.join(waiter, job, Some(fingerprint(submission))),
+            KeyState::OwnedNotRun => self.open_job(waiter, address, submission, JobStage::Open),
+            KeyState::Unresolved if forwarded => {
+                self.open_job(waiter, address, submission, JobStage::Open);
+            }
+            KeyState::Unknown if forwarded => {
+                self.answer_failed(waiter, FailReason::AnswerExpired, None);
+            }
+            KeyState::Unknown | KeyState::Unresolved => {
+                self.open_job(waiter, address, submission, JobStage::Claiming);
+            }
+        }
+    }
+
+    /// Adds a waiter to a job, or answers it when the job has ended.
+    ///
+    /// A `fingerprint` other than the job's is refused.
+    pub(crate) fn join(&mut self, waiter: Waiter, key: JobKey, fingerprint: Option<u64>) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return self.answer_failed(waiter, FailReason::AnswerExpired, None);
+        };
+        if fingerprint.is_some_and(|fingerprint| fingerprint != job.fingerprint) {
+            return self.answer_failed(waiter, FailReason::AddressReused, None);
+        }
+        if let Some(answer) = job.answer.clone() {
+            return self.answer(waiter, answer);
+        }
+        if let JobOrigin::Callers { waiters, .. } = &mut job.origin
+            && !waiters.contains(&waiter)
+        {
+            if let Waiter::Request(request) = waiter {
+                self.requests.insert(request, key);
+            }
+            waiters.push(waiter);
+        }
+    }
+
+    /// Opens a job when every check passes, else answers that nothing ran.
+    fn open_job(
+        &mut self,
+        waiter: Waiter,
+        address: &JobAddress,
+        submission: &Arc<Submission>,
+        stage: JobStage,
+    ) {
+        let accepted = match self.accept(submission) {
+            Ok(accepted) => accepted,
+            Err((reason, retry_after)) => {
+                return self.answer_not_run(waiter, reason, retry_after);
+            }
+        };
+        let number = self.next_job;
+        self.next_job += 1;
+        let tasks = submission
+            .inputs
+            .iter()
+            .zip(0..)
+            .map(|(input, index)| Task {
+                id: TaskId {
+                    home: self.config.incarnation,
+                    job: number,
+                    index,
+                },
+                input: input.clone(),
+                state: TaskState::Waiting,
+                refused_attempts: 0,
+            });
+        let tasks: Vec<Task> = tasks.collect();
+        let origin = JobOrigin::Callers {
+            address: address.clone(),
+            waiters: Vec::new(),
+        };
+        let key = self.insert_job(origin, tasks, &accepted, submission, stage);
+        self.join(waiter, key, None);
+        self.remember_address(address, key);
+        if stage == JobStage::Claiming {
+            self.claim(key, address);
+        } else {
+            self.enqueue(key);
+        }
+    }
+
+    fn insert_job(
+        &mut self,
+        origin: JobOrigin,
+        tasks: Vec<Task>,
+        accepted: &Accepted,
+        submission: &Submission,
+        stage: JobStage,
+    ) -> JobKey {
+        let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        let timers = &mut self.timers;
+        let key = self.jobs.insert_with_key(|key| Job {
+            origin,
+            stage,
+            service: accepted.service,
+            team: accepted.team,
+            needs: submission.needs,
+            idempotent: submission.idempotent,
+            declared_run: submission.declared_run,
+            traceparent: submission.traceparent.clone(),
+            deadline: accepted.deadline,
+            deadline_timer: timers.subscribe(accepted.deadline, Timer::Deadline(key)),
+            fingerprint: fingerprint(submission),
+            tasks,
+            waiting: (0..count).collect::<VecDeque<u32>>(),
+            open_tasks: count,
+            in_flight: 0,
+            ran: false,
+            remaining_elsewhere: 0,
+            claim_unresolved: false,
+            answer: None,
+        });
+        self.open_jobs += 1;
+        key
+    }
+
+    /// Opens the part of a sibling's job that a batch holds.
+    pub(crate) fn insert_batch_job(
+        &mut self,
+        origin: JobOrigin,
+        tasks: Vec<Task>,
+        submission: &Submission,
+        remaining: u32,
+    ) -> Option<JobKey> {
+        let service = self.plan.service(&submission.service)?;
+        let team = self.plan.team(&submission.team)?;
+        let accepted = Accepted {
+            service,
+            team,
+            deadline: self.now + submission.timeout.unwrap_or_default(),
+        };
+        let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        let key = self.insert_job(origin, tasks, &accepted, submission, JobStage::Open);
+        self.jobs[key].remaining_elsewhere = remaining.saturating_sub(count);
+        self.enqueue(key);
+        Some(key)
+    }
+
+    fn remember_address(&mut self, address: &JobAddress, key: JobKey) {
+        match address {
+            JobAddress::Single => {}
+            JobAddress::Session { session, number } => {
+                let state = NumberState::Job(key);
+                self.sessions.set(session.number, *number, state);
+            }
+            JobAddress::Key { team, key: name } => {
+                let name = KeyName {
+                    team: team.clone(),
+                    key: name.clone(),
+                };
+                self.jobs[key].claim_unresolved = self.keys.state(&name) == KeyState::Unresolved;
+                let never = Timestamp::from_us(u64::MAX);
+                self.keys.set(name, KeyState::Job(key), never);
+            }
+        }
+    }
+
+    /// Puts an open job in its service's queue.
+    pub(crate) fn enqueue(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let weight = self.plan.teams.get(job.team);
+        let entry = QueueEntry {
+            job: key,
+            team: job.team,
+            weight: weight.map_or(1, |team| team.settings.weight),
+            remaining: job.remaining(),
+            deadline: job.deadline,
+        };
+        let waiting = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
+        let service_key = job.service;
+        let service = &mut self.plan.services[service_key];
+        service.queue.insert(self.now, entry);
+        service.queued_tasks += waiting;
+        self.mark_dirty(service_key);
+    }
+
+    fn accept(
+        &mut self,
+        submission: &Submission,
+    ) -> Result<Accepted, (NotRunReason, Option<Duration>)> {
+        if self.leaving {
+            return Err((NotRunReason::Leaving, Some(RETRY_SOON)));
+        }
+        if !self.plan.is_installed() {
+            return Err((NotRunReason::NoDocument, Some(RETRY_SOON)));
+        }
+        if self.jobs.len() >= self.config.limits.jobs {
+            return Err((NotRunReason::TooManyJobs, Some(RETRY_SOON)));
+        }
+        let accepted = self
+            .check_bounds(submission)
+            .map_err(|reason| (reason, None))?;
+        self.check_load(submission, &accepted)
+            .map_err(|refusal| (refusal.reason, Some(refusal.retry_after)))?;
+        Ok(accepted)
+    }
+
+    fn check_bounds(&self, submission: &Submission) -> Result<Accepted, NotRunReason> {
+        let service_key = self.plan.service(&submission.service);
+        let service_key = service_key.ok_or(NotRunReason::UnknownService)?;
+        let team = self.plan.team(&submission.team);
+        let team = team.ok_or(NotRunReason::UnknownTeam)?;
+        let service = &self.plan.services[service_key];
+        let tasks = submission.inputs.len();
+        if tasks == 0 || tasks > service.settings.max_tasks_per_job as usize {
+            return Err(NotRunReason::TaskCount);
+        }
+        let max_input_bytes = service.settings.max_input_bytes as usize;
+        if submission.inputs.iter().any(|i| i.len() > max_input_bytes) {
+            return Err(NotRunReason::InputTooLarge);
+        }
+        let upstreams = service.upstreams.iter();
+        let mut upstreams = upstreams.map(|key| &self.plan.upstreams[*key]);
+        if !upstreams.any(|upstream| upstream.meets(submission.needs)) {
+            return Err(NotRunReason::NeedsNeverMet);
+        }
+        let default = Duration::from_millis(service.settings.default_deadline_ms.into());
+        let longest = Duration::from_millis(service.settings.max_deadline_ms.into());
+        let timeout = submission.timeout.unwrap_or(default).min(longest);
+        Ok(Accepted {
+            service: service_key,
+            team,
+            deadline: self.now + timeout,
+        })
+    }
+
+    fn check_load(&mut self, submission: &Submission, accepted: &Accepted) -> Result<(), Refusal> {
+        let tasks = u32::try_from(submission.inputs.len()).unwrap_or(u32::MAX);
+        let service = &self.plan.services[accepted.service];
+        let load = AdmissionLoad {
+            tasks,
+            queued_tasks: service.queued_tasks,
+            queued_work: service.queued_work(),
+            running: service.running,
+            slots: self.reachable_slots(accepted.service, submission.needs),
+            run_estimate: service.estimate.reading(submission.declared_run),
+            time_left: accepted.deadline.since(self.now),
+            max_queued_tasks: self.plan.policies().max_queued_tasks,
+            spread: u32::try_from(self.next_job & 0xffff).unwrap_or_default(),
+        };
+        service.admission.admit(&load)?;
+        let now = self.now;
+        self.plan.teams[accepted.team].quota.admit(now, tasks)
+    }
+
+    /// The slots that tasks with these needs can use: our upstreams', and those free at siblings.
+    fn reachable_slots(&self, service_key: ServiceKey, needs: Needs) -> u32 {
+        let unix_ms = self.unix_now_ms();
+        let service = &self.plan.services[service_key];
+        let upstreams = service
+            .upstreams
+            .iter()
+            .map(|key| &self.plan.upstreams[*key]);
+        let usable = upstreams.filter(|u| u.is_in_use(unix_ms) && u.meets(needs));
+        let own: u32 = usable.map(|upstream| upstream.effective_slots).sum();
+        if !self.forwards_overflow() {
+            return own;
+        }
+        let siblings = self.siblings.iter();
+        let heard = siblings.filter(|(_, sibling)| sibling.takes_work(self.now));
+        let loads = heard.filter_map(|(_, sibling)| sibling.load(&service.name));
+        own + loads.map(|load| load.free_slots).sum::<u32>()
+    }
+
+    /// Whether tasks are handed to siblings that have room.
+    pub(crate) fn forwards_overflow(&self) -> bool {
+        let policies = self.plan.policies();
+        policies.forward_overflow && policies.placement == PlacementPolicy::Owned
+    }
+
+    /// Answers a waiter that nothing of its job ran.
+    pub(crate) fn answer_not_run(
+        &mut self,
+        waiter: Waiter,
+        reason: NotRunReason,
+        retry_after: Option<Duration>,
+    ) {
+        let answer = JobAnswer::NotRun {
+            reason,
+            retry_after,
+        };
+        self.answer(waiter, Arc::new(answer));
+    }
+
+    /// Answers a waiter that something of its job ran or may have run.
+    pub(crate) fn answer_failed(
+        &mut self,
+        waiter: Waiter,
+        reason: FailReason,
+        retry_after: Option<Duration>,
+    ) {
+        let answer = JobAnswer::Failed {
+            reason,
+            task: None,
+            retry_after,
+        };
+        self.answer(waiter, Arc::new(answer));
+    }
+
+    /// Gives a waiter its answer.
+    pub(crate) fn answer(&mut self, waiter: Waiter, answer: Arc<JobAnswer>) {
+        match waiter {
+            Waiter::Request(request) => {
+                self.requests.swap_remove(&request);
+                self.actions.push(Action::Answer { request, answer });
+            }
+            Waiter::Sibling {
+                instance,
+                correlation,
+            } => self.answer_sibling(instance, correlation, &answer),
+        }
+    }
+}
+
+/// A fingerprint of what a submission asks to run.
+fn fingerprint(submission: &Submission) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(submission.service.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(submission.team.as_bytes());
+    for input in &submission.inputs {
+        hasher.update(&input.len().to_le_bytes());
+        hasher.update(input);
+    }
+    hasher.digest()
+}
