--- a/lib/src/sibling_table.rs
+++ b/lib/src/sibling_table.rs
@@ -23,6 +23,9 @@
 /// How many of a sibling's latest message numbers are remembered.
 const REPLAY_NUMBERS: usize = 4_096;
 
+/// How many of a sibling's latest incarnations are told apart.
+const INCARNATIONS_SEEN: usize = 4;
+
 /// One sibling entry instance.
 #[derive(Debug)]
 pub(crate) struct SiblingState {
@@ -33,8 +36,24 @@
     pub(crate) heard_at: Option<Timestamp>,
     pub(crate) digest: LoadDigest,
     last_batch: u64,
-    batches_seen: ReplayWindow,
-    requests_seen: ReplayWindow,
+    /// What its latest incarnations sent, since a late message may be of an earlier one.
+    seen: IndexMap<Incarnation, SeenNumbers>,
+}
+
+/// The numbers of the messages that one incarnation of a sibling sent.
+#[derive(Debug)]
+struct SeenNumbers {
+    batches: ReplayWindow,
+    requests: ReplayWindow,
+}
+
+impl Default for SeenNumbers {
+    fn default() -> Self {
+        SeenNumbers {
+            batches: ReplayWindow::new(REPLAY_NUMBERS),
+            requests: ReplayWindow::new(REPLAY_NUMBERS),
+        }
+    }
 }
 
 impl SiblingState {
@@ -46,8 +65,7 @@
             heard_at: None,
             digest: LoadDigest::default(),
             last_batch: 0,
-            batches_seen: ReplayWindow::new(REPLAY_NUMBERS),
-            requests_seen: ReplayWindow::new(REPLAY_NUMBERS),
+            seen: IndexMap::new(),
         }
     }
 
@@ -96,19 +114,27 @@
 
     /// Records a batch that came from it and says whether it is new.
     pub(crate) fn record_batch(&mut self, batch: BatchId) -> bool {
-        self.batches_seen.record(batch.0)
+        let seen = self.seen_of_sender();
+        seen.is_some_and(|seen| seen.batches.record(batch.0))
     }
 
     /// Records a request that came from it and says whether it is new.
     pub(crate) fn record_request(&mut self, correlation: u64) -> bool {
-        self.requests_seen.record(correlation)
+        let seen = self.seen_of_sender();
+        seen.is_some_and(|seen| seen.requests.record(correlation))
+    }
+
+    fn seen_of_sender(&mut self) -> Option<&mut SeenNumbers> {
+        self.seen.get_mut(&self.incarnation?)
     }
 
     fn restart(&mut self, incarnation: Incarnation) {
         self.incarnation = Some(incarnation);
         self.digest = LoadDigest::default();
-        self.batches_seen = ReplayWindow::new(REPLAY_NUMBERS);
-        self.requests_seen = ReplayWindow::new(REPLAY_NUMBERS);
+        if self.seen.len() >= INCARNATIONS_SEEN && !self.seen.contains_key(&incarnation) {
+            self.seen.shift_remove_index(0);
+        }
+        self.seen.entry(incarnation).or_default();
     }
 }
 
--- /dev/null
+++ b/lib/tests/core_fakes/mod.rs
@@ -0,0 +1,454 @@
+//! Small fakes of caller, upstream, table and peer network round real dispatchers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondhead_lib::action::Action;
+use almondhead_lib::action::Attempt;
+use almondhead_lib::dispatcher::Dispatcher;
+use almondhead_lib::dispatcher::DispatcherConfig;
+use almondhead_lib::dispatcher::DispatcherLimits;
+use almondhead_lib::document::Document;
+use almondhead_lib::event::ClaimEnd;
+use almondhead_lib::event::Event;
+use almondhead_lib::event::PeerIdentity;
+use almondhead_lib::id::Incarnation;
+use almondhead_lib::id::JobAddress;
+use almondhead_lib::id::RequestId;
+use almondhead_lib::membership::Membership;
+use almondhead_lib::membership::Sibling;
+use almondhead_lib::outcome::AttemptEnd;
+use almondhead_lib::outcome::JobAnswer;
+use almondhead_lib::outcome::NotStartedCause;
+use almondhead_lib::outcome::UnknownCause;
+use almondhead_lib::peer_message::PeerMessage;
+use almondhead_lib::submission::Needs;
+use almondhead_lib::submission::Submission;
+use almondhead_lib::time::Timestamp;
+use bytes::Bytes;
+use indexmap::IndexMap;
+
+/// A document with two data centres, one service and a few upstreams of two slots.
+pub const DOCUMENT: &str = r#"{
+  "firm": "test",
+  "policies": { "retry_percent": 100 },
+  "data_centres": [
+    { "name": "east", "distances": [{ "to": "west", "one_way_us": 1000 }] },
+    { "name": "west" }
+  ],
+  "services": [{
+    "name": "lookup", "path": "/v1/tasks", "max_deadline_ms": 10000,
+    "default_deadline_ms": 5000, "max_tasks_per_job": 480, "max_input_bytes": 4096
+  }],
+  "upstreams": [
+    { "name": "u1", "data_centre": "east", "service": "lookup", "address": "127.0.0.1:1001",
+      "slots": 2, "connections": 16, "cores": 4, "memory_mib": 1024 },
+    { "name": "u2", "data_centre": "east", "service": "lookup", "address": "127.0.0.1:1002",
+      "slots": 2, "connections": 16, "cores": 4, "memory_mib": 1024 },
+    { "name": "u3", "data_centre": "west", "service": "lookup", "address": "127.0.0.1:1003",
+      "slots": 2, "connections": 16, "cores": 4, "memory_mib": 1024 }
+  ],
+  "teams": [{ "name": "sales", "weight": 1, "max_open_tasks": 1000, "max_tasks_per_second": 100000 }]
+}"#;
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+const DATA_CENTRES: [&str; 3] = ["east", "east", "west"];
+
+/// How a fake upstream ends an attempt.
+#[derive(Clone, Copy, Debug)]
+pub enum UpstreamEnd {
+    Finish,
+    Fail,
+    Refuse,
+    Lose,
+}
+
+/// How the fake table ends a claim.
+#[derive(Clone, Copy, Debug)]
+pub enum TableEnd {
+    Answer,
+    ApplyAndLose,
+    Unavailable,
+}
+
+/// A message under way.
+#[derive(Clone, Debug)]
+pub struct Envelope {
+    pub sender: PeerIdentity,
+    pub to: usize,
+    pub message: PeerMessage,
+}
+
+/// A task that an upstream got.
+#[derive(Clone, Debug)]
+pub struct OpenAttempt {
+    pub instance: usize,
+    pub incarnation: Incarnation,
+    pub attempt: Attempt,
+}
+
+/// A claim that the table has not answered.
+#[derive(Clone, Debug)]
+pub struct OpenClaim {
+    instance: usize,
+    incarnation: Incarnation,
+    claim: u64,
+    key: Arc<str>,
+    writes: bool,
+}
+
+/// A job as its caller knows it.
+#[derive(Debug)]
+pub struct KnownJob {
+    pub address: JobAddress,
+    pub submission: Arc<Submission>,
+    pub open_requests: usize,
+    pub not_run_answers: usize,
+    pub other_answers: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct TaskStart {
+    job: usize,
+    index: usize,
+}
+
+/// Three dispatchers in two data centres, and the fakes round them.
+pub struct CoreFakes {
+    pub now: Timestamp,
+    pub dispatchers: Vec<Dispatcher>,
+    pub messages: Vec<Envelope>,
+    pub attempts: Vec<OpenAttempt>,
+    pub claims: Vec<OpenClaim>,
+    pub jobs: Vec<KnownJob>,
+    pub faults: String,
+    requests: IndexMap<RequestId, usize>,
+    started: IndexMap<TaskStart, u32>,
+    table: IndexMap<Arc<str>, (PeerIdentity, u64)>,
+    next_incarnation: u64,
+    next_request: u64,
+}
+
+impl CoreFakes {
+    /// Dispatchers with the document and each other's names.
+    pub fn new() -> Self {
+        let mut fakes = CoreFakes {
+            now: Timestamp::from_us(1_000_000),
+            dispatchers: Vec::new(),
+            messages: Vec::new(),
+            attempts: Vec::new(),
+            claims: Vec::new(),
+            jobs: Vec::new(),
+            faults: String::new(),
+            requests: IndexMap::new(),
+            started: IndexMap::new(),
+            table: IndexMap::new(),
+            next_incarnation: 1,
+            next_request: 1,
+        };
+        for instance in 0..NAMES.len() {
+            let dispatcher = fakes.new_dispatcher(instance);
+            fakes.dispatchers.push(dispatcher);
+        }
+        for instance in 0..NAMES.len() {
+            fakes.prepare(instance);
+        }
+        fakes.deliver_all();
+        fakes
+    }
+
+    fn new_dispatcher(&mut self, instance: usize) -> Dispatcher {
+        let incarnation = Incarnation(self.next_incarnation);
+        self.next_incarnation += 1;
+        Dispatcher::new(DispatcherConfig {
+            instance: Arc::from(NAMES[instance]),
+            data_centre: Arc::from(DATA_CENTRES[instance]),
+            incarnation,
+            seed: 7,
+            limits: DispatcherLimits {
+                session_window: 8,
+                ..DispatcherLimits::default()
+            },
+        })
+    }
+
+    fn prepare(&mut self, instance: usize) {
+        let siblings = (0..NAMES.len()).filter(|other| *other != instance);
+        let siblings = siblings.map(|other| Sibling {
+            name: Arc::from(NAMES[other]),
+            data_centre: Arc::from(DATA_CENTRES[other]),
+            peer_address: "127.0.0.1:1".parse().expect("an address"),
+            incarnation: None,
+            leaving: false,
+        });
+        let membership = Membership {
+            siblings: siblings.collect(),
+            ..Membership::default()
+        };
+        let document = almondhead_lib::check::check_document(DOCUMENT);
+        let document: Document = document.expect("the document is valid");
+        self.handle(instance, Event::MembershipChanged(membership));
+        self.handle(
+            instance,
+            Event::DocumentInstalled {
+                revision: 1,
+                document: Arc::new(document),
+                text: Bytes::from_static(DOCUMENT.as_bytes()),
+            },
+        );
+    }
+
+    /// Hands an event to a dispatcher and carries its actions out.
+    pub fn handle(&mut self, instance: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.dispatchers[instance].handle(self.now, event, &mut actions);
+        for action in actions {
+            self.carry_out(instance, action);
+        }
+    }
+
+    fn carry_out(&mut self, instance: usize, action: Action) {
+        let incarnation = self.dispatchers[instance].incarnation();
+        match action {
+            Action::Answer { request, answer } => self.take_answer(request, &answer),
+            Action::StartAttempt(attempt) => self.attempts.push(OpenAttempt {
+                instance,
+                incarnation,
+                attempt,
+            }),
+            Action::StopTasks { .. } => {}
+            Action::Claim { claim, key, .. } => self.claims.push(OpenClaim {
+                instance,
+                incarnation,
+                claim,
+                key,
+                writes: true,
+            }),
+            Action::FindHome { claim, key, .. } => self.claims.push(OpenClaim {
+                instance,
+                incarnation,
+                claim,
+                key,
+                writes: false,
+            }),
+            Action::SendPeer {
+                instance: to,
+                message,
+            } => {
+                let to = NAMES.iter().position(|name| *name == &*to);
+                self.messages.push(Envelope {
+                    sender: PeerIdentity {
+                        instance: Arc::from(NAMES[instance]),
+                        incarnation,
+                    },
+                    to: to.expect("a known instance"),
+                    message,
+                });
+            }
+        }
+    }
+
+    fn take_answer(&mut self, request: RequestId, answer: &JobAnswer) {
+        let Some(job) = self.requests.swap_remove(&request) else {
+            self.faults += &format!("{request:?} was answered twice or never asked\n");
+            return;
+        };
+        let known = &mut self.jobs[job];
+        known.open_requests -= 1;
+        match answer {
+            JobAnswer::NotRun { .. } => known.not_run_answers += 1,
+            JobAnswer::Failed { .. } => known.other_answers += 1,
+            JobAnswer::Complete { results } => {
+                known.other_answers += 1;
+                if *results != known.submission.inputs {
+                    self.faults += &format!("job {job} got another's answer: {results:?}\n");
+                }
+            }
+        }
+    }
+
+    /// Opens a session at an instance and submits a job in it.
+    pub fn submit_in_session(&mut self, instance: usize, tasks: usize) -> usize {
+        let session = self.dispatchers[instance].open_session(self.now);
+        let session = session.expect("a session");
+        let number = 1;
+        self.submit_new(instance, JobAddress::Session { session, number }, tasks)
+    }
+
+    /// Submits a job by an idempotency key.
+    pub fn submit_by_key(&mut self, instance: usize, tasks: usize) -> usize {
+        let address = JobAddress::Key {
+            team: Arc::from("sales"),
+            key: Arc::from(format!("key-{}", self.jobs.len())),
+        };
+        self.submit_new(instance, address, tasks)
+    }
+
+    fn submit_new(&mut self, instance: usize, address: JobAddress, tasks: usize) -> usize {
+        let job = self.jobs.len();
+        let inputs = (0..tasks).map(|index| Bytes::from(format!("{job}/{index}")));
+        let submission = Arc::new(Submission {
+            service: Arc::from("lookup"),
+            team: Arc::from("sales"),
+            timeout: None,
+            idempotent: false,
+            needs: Needs::default(),
+            declared_run: None,
+            inputs: inputs.collect(),
+            traceparent: None,
+        });
+        self.jobs.push(KnownJob {
+            address,
+            submission,
+            open_requests: 0,
+            not_run_answers: 0,
+            other_answers: 0,
+        });
+        self.submit_again(job, instance);
+        job
+    }
+
+    /// Submits a known job, through any instance.
+    pub fn submit_again(&mut self, job: usize, instance: usize) {
+        let request = self.new_request(job);
+        let address = self.jobs[job].address.clone();
+        let submission = self.jobs[job].submission.clone();
+        self.handle(
+            instance,
+            Event::Submitted {
+                request,
+                address,
+                submission,
+            },
+        );
+    }
+
+    /// Cancels a known job, through any instance.
+    pub fn cancel(&mut self, job: usize, instance: usize) {
+        let request = self.new_request(job);
+        let address = self.jobs[job].address.clone();
+        self.handle(instance, Event::Cancelled { request, address });
+    }
+
+    fn new_request(&mut self, job: usize) -> RequestId {
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        self.requests.insert(request, job);
+        self.jobs[job].open_requests += 1;
+        request
+    }
+
+    /// Delivers a message and keeps a copy when `again`.
+    pub fn deliver(&mut self, index: usize, again: bool) {
+        let envelope = if again {
+            self.messages[index].clone()
+        } else {
+            self.messages.remove(index)
+        };
+        let event = Event::PeerMessage {
+            sender: envelope.sender,
+            message: envelope.message,
+        };
+        self.handle(envelope.to, event);
+    }
+
+    /// Delivers every message, and those that they cause.
+    pub fn deliver_all(&mut self) {
+        for _ in 0..10_000 {
+            if self.messages.is_empty() {
+                return;
+            }
+            self.deliver(0, false);
+        }
+        panic!("messages without end");
+    }
+
+    /// Ends an attempt at its upstream.
+    pub fn end_attempt(&mut self, index: usize, end: UpstreamEnd) {
+        let open = self.attempts.remove(index);
+        let end = match end {
+            UpstreamEnd::Finish => AttemptEnd::Finished {
+                body: open.attempt.input.clone(),
+            },
+            UpstreamEnd::Fail => AttemptEnd::TaskFailed { status: 500 },
+            UpstreamEnd::Refuse => AttemptEnd::NotStarted(NotStartedCause::Refused),
+            UpstreamEnd::Lose => AttemptEnd::Unknown(UnknownCause::ConnectionLost),
+        };
+        if !matches!(end, AttemptEnd::NotStarted(_)) {
+            let start = task_start(&open.attempt);
+            *self.started.entry(start).or_default() += 1;
+        }
+        if self.dispatchers[open.instance].incarnation() == open.incarnation {
+            let attempt = open.attempt.attempt;
+            self.handle(open.instance, Event::AttemptEnded { attempt, end });
+        }
+    }
+
+    /// Lets the table answer a claim.
+    pub fn end_claim(&mut self, index: usize, end: TableEnd) {
+        let open = self.claims.remove(index);
+        let identity = PeerIdentity {
+            instance: Arc::from(NAMES[open.instance]),
+            incarnation: open.incarnation,
+        };
+        let row = self.table.get(&open.key).cloned();
+        if row.is_none() && open.writes && !matches!(end, TableEnd::Unavailable) {
+            let token = open.claim;
+            self.table
+                .insert(open.key.clone(), (identity.clone(), token));
+        }
+        let answer = match (end, row) {
+            (TableEnd::ApplyAndLose | TableEnd::Unavailable, _) => ClaimEnd::Unavailable,
+            (TableEnd::Answer, Some((home, _))) => ClaimEnd::Theirs(home),
+            (TableEnd::Answer, None) if open.writes => ClaimEnd::Ours,
+            (TableEnd::Answer, None) => ClaimEnd::Unclaimed,
+        };
+        if self.dispatchers[open.instance].incarnation() == open.incarnation {
+            let claim = open.claim;
+            self.handle(open.instance, Event::ClaimEnded { claim, end: answer });
+        }
+    }
+
+    /// Lets time pass at every dispatcher.
+    pub fn advance(&mut self, duration: Duration) {
+        self.now = self.now + duration;
+        for instance in 0..self.dispatchers.len() {
+            self.handle(instance, Event::Tick);
+        }
+    }
+
+    /// Kills an instance and starts it anew; its callers get no answer.
+    pub fn restart(&mut self, instance: usize) {
+        self.dispatchers[instance] = self.new_dispatcher(instance);
+        self.prepare(instance);
+    }
+
+    /// Every promise that does not hold now, a line each; empty when all hold.
+    pub fn broken_promises(&self) -> String {
+        let mut broken = self.faults.clone();
+        let mut possible = self.started.clone();
+        for open in &self.attempts {
+            *possible.entry(task_start(&open.attempt)).or_default() += 1;
+        }
+        for (start, count) in &possible {
+            if *count > 1 {
+                broken += &format!("{start:?} may have started {count} times\n");
+            }
+            let job = &self.jobs[start.job];
+            let only_not_run = job.open_requests == 0 && job.other_answers == 0;
+            if *count > 0 && only_not_run {
+                broken += &format!("{start:?} may have started after \"not run\"\n");
+            }
+        }
+        broken
+    }
+}
+
+fn task_start(attempt: &Attempt) -> TaskStart {
+    let input = std::str::from_utf8(&attempt.input).expect("a text");
+    let (job, index) = input.split_once('/').expect("job and index");
+    TaskStart {
+        job: job.parse().expect("a job"),
+        index: index.parse().expect("an index"),
+    }
+}
