--- /dev/null
+++ b/net/src/http.rs
@@ -0,0 +1,25 @@
+//! HTTP exchanges over kept connections, each error telling whether the request may have arrived.
+
+mod client;
+mod counted_stream;
+mod error;
+mod http1_connection;
+mod http1_pool;
+mod http2_connection;
+mod http2_pool;
+mod pool;
+mod progress;
+mod read_body;
+mod request;
+mod response;
+mod settings;
+
+pub use client::HttpClient;
+pub use error::ExchangeError;
+pub use error::Failure;
+pub use error::Sent;
+pub use error::Step;
+pub use request::HttpRequest;
+pub use response::HttpResponse;
+pub use settings::HttpSettings;
+pub use settings::Protocol;
--- /dev/null
+++ b/net/src/http/client.rs
@@ -0,0 +1,73 @@
+//! The HTTP client.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use futures_lite::future::or;
+use indexmap::IndexMap;
+use smol::Timer;
+
+use super::error::ExchangeError;
+use super::error::Failure;
+use super::pool::Pool;
+use super::progress::Progress;
+use super::request::HttpRequest;
+use super::response::HttpResponse;
+use super::settings::HttpSettings;
+
+/// An HTTP client that keeps a bounded number of connections to each address.
+///
+/// It never asks the peer with `Expect: 100-continue` first, and repeats no request of which a
+/// byte was sent. Dropping the future of [`HttpClient::send`] abandons the exchange.
+pub struct HttpClient {
+    settings: HttpSettings,
+    pools: Mutex<IndexMap<SocketAddr, Arc<Pool>>>,
+}
+
+impl HttpClient {
+    /// Returns a client without connections.
+    pub fn new(settings: HttpSettings) -> Self {
+        Self {
+            settings,
+            pools: Mutex::default(),
+        }
+    }
+
+    /// Sends a request and returns its whole response.
+    ///
+    /// `timeout` bounds everything: the wait for a connection, the connect and the exchange.
+    pub async fn send(
+        &self,
+        request: HttpRequest,
+        timeout: Duration,
+    ) -> Result<HttpResponse, ExchangeError> {
+        let progress = Progress::new();
+        let pool = self.pool(request.address);
+        let result = or(pool.send(&request, &progress), async {
+            Timer::after(timeout).await;
+            let timeout_ms = timeout.as_millis();
+            Err(Failure::Timeout { timeout_ms })
+        })
+        .await;
+        result.map_err(|failure| ExchangeError {
+            step: progress.step(),
+            peer: request.address,
+            sent: progress.sent(),
+            failure,
+        })
+    }
+
+    fn pool(&self, address: SocketAddr) -> Arc<Pool> {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pools.get(&address) {
+            return Arc::clone(pool);
+        }
+        pools.retain(|_, pool| Arc::strong_count(pool) > 1 || !pool.is_idle());
+        let pool = Arc::new(Pool::new(address, &self.settings));
+        pools.insert(address, Arc::clone(&pool));
+        pool
+    }
+}
--- /dev/null
+++ b/net/src/http/read_body.rs
@@ -0,0 +1,54 @@
+//! Reads a response body to its stated end, or fails.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::Version;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
+
+use super::error::Failure;
+use super::response::HttpResponse;
+
+/// Reads the whole body of `response`, at most `limit_bytes` of it.
+pub(crate) async fn read_body(
+    response: Response<Incoming>,
+    limit_bytes: usize,
+) -> Result<HttpResponse, Failure> {
+    if !has_stated_end(&response) {
+        return Err(Failure::BodyWithoutEnd);
+    }
+    let (head, body) = response.into_parts();
+    let body = collect(body, limit_bytes).await?;
+    Ok(HttpResponse {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+fn has_stated_end(response: &Response<Incoming>) -> bool {
+    response.version() == Version::HTTP_2
+        || response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(TRANSFER_ENCODING)
+}
+
+async fn collect(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Failure> {
+    let too_long = Failure::BodyTooLong { limit_bytes };
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(too_long);
+    }
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > limit_bytes {
+            return Err(too_long);
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
