testsupport: add stand-ins for upstream and platform

Tests need a witness other than almondhead's own counters: the upstream stand-in records every start by task id, and both count each fault that really happened. Each runs in-process behind a handle or as a program of its own.

--- a/lib/testsupport/src/lib.rs
+++ b/lib/testsupport/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! Stand-ins for upstream and platform, a fault-injecting proxy and process helpers, for tests.
+
+mod broken_body;
+mod command;
+mod locking;
+mod platform;
+mod request;
+mod server;
+mod upstream;
+
+pub use crate::command::listen_address;
+pub use crate::command::stand_in_command;
+pub use crate::platform::Outage;
+pub use crate::platform::PlatformCounters;
+pub use crate::platform::PlatformFaults;
+pub use crate::platform::PlatformSettings;
+pub use crate::platform::PlatformStandIn;
+pub use crate::upstream::StartsReport;
+pub use crate::upstream::StopRequest;
+pub use crate::upstream::TaskStarts;
+pub use crate::upstream::UpstreamCounters;
+pub use crate::upstream::UpstreamFaults;
+pub use crate::upstream::UpstreamSettings;
+pub use crate::upstream::UpstreamStandIn;
--- /dev/null
+++ b/lib/testsupport/src/platform/stand_in.rs
@@ -0,0 +1,89 @@
+//! A running platform stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use almondhead_macros::value;
+use almondhead_net::ListedInstance;
+use almondhead_net::Platform;
+
+use super::counters::PlatformCounters;
+use super::faults::PlatformFaults;
+use super::handler::PlatformHandler;
+use super::state::PlatformState;
+use crate::server::Server;
+
+/// Settings of a platform stand-in.
+#[value]
+pub struct PlatformSettings {
+    /// Where it listens; port 0 takes any free one.
+    pub listen: SocketAddr,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        }
+    }
+}
+
+/// A running platform stand-in. Dropping it stops its server.
+pub struct PlatformStandIn {
+    state: Arc<PlatformState>,
+    server: Server,
+}
+
+impl PlatformStandIn {
+    /// Starts a stand-in on smol's global executor.
+    pub async fn start(settings: PlatformSettings) -> io::Result<Self> {
+        let state = Arc::new(PlatformState::new());
+        let handler = PlatformHandler::new(Arc::clone(&state));
+        let server = Server::start(settings.listen, handler).await?;
+        Ok(Self { state, server })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Puts these faults in force, in place of the ones before.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Returns what it did so far.
+    pub fn counters(&self) -> PlatformCounters {
+        self.state.counters()
+    }
+
+    /// Returns its rows, objects and list, past all faults and counters.
+    pub fn contents(&self) -> &dyn Platform {
+        &self.state.memory
+    }
+
+    /// Puts an instance on the list.
+    pub async fn announce(&self, instance: ListedInstance) {
+        let announced = self.state.announce(instance).await;
+        announced.expect("memory never fails");
+    }
+
+    /// Marks an instance as leaving; one not listed is passed over.
+    pub async fn set_leaving(&self, name: &str) {
+        let marked = self.state.set_leaving(name).await;
+        marked.expect("memory never fails");
+    }
+
+    /// Takes an instance off the list, as one that the platform has seen end.
+    pub async fn end_instance(&self, name: &str) {
+        let ended = self.state.end_instance(name).await;
+        ended.expect("memory never fails");
+    }
+
+    /// Waits until the server has ended.
+    pub async fn ended(&self) {
+        self.server.ended().await;
+    }
+}
--- /dev/null
+++ b/lib/testsupport/src/platform/state.rs
@@ -0,0 +1,108 @@
+//! What a platform stand-in remembers besides its rows.
+
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use almondhead_net::InstanceList;
+use almondhead_net::InstanceState;
+use almondhead_net::ListedInstance;
+use almondhead_net::MemoryPlatform;
+use almondhead_net::Platform;
+use almondhead_net::PlatformError;
+
+use super::counters::PlatformCounters;
+use super::faults::PlatformFaults;
+use super::lagging_list::LaggingList;
+use crate::locking::lock;
+
+/// The state of a stand-in, shared by its handler and its handle.
+pub(crate) struct PlatformState {
+    /// The rows, objects and the list of now.
+    pub(crate) memory: MemoryPlatform,
+    started_at: Instant,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    faults: PlatformFaults,
+    counters: PlatformCounters,
+    list: LaggingList,
+    second: u64,
+    writes_in_second: u64,
+}
+
+impl PlatformState {
+    pub(crate) fn new() -> Self {
+        Self {
+            memory: MemoryPlatform::default(),
+            started_at: Instant::now(),
+            inner: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn faults(&self) -> PlatformFaults {
+        lock(&self.inner).faults.clone()
+    }
+
+    pub(crate) fn set_faults(&self, faults: PlatformFaults) {
+        lock(&self.inner).faults = faults;
+    }
+
+    pub(crate) fn counters(&self) -> PlatformCounters {
+        lock(&self.inner).counters.clone()
+    }
+
+    pub(crate) fn count(&self, count: impl FnOnce(&mut PlatformCounters)) {
+        count(&mut lock(&self.inner).counters);
+    }
+
+    /// Counts one write against the write budget.
+    pub(crate) fn count_write(&self) {
+        let second = self.started_at.elapsed().as_secs();
+        let mut inner = lock(&self.inner);
+        if second != inner.second {
+            inner.second = second;
+            inner.writes_in_second = 0;
+        }
+        inner.writes_in_second += 1;
+        let writes_in_second = inner.writes_in_second;
+        let counters = &mut inner.counters;
+        counters.writes += 1;
+        counters.writes_peak_per_s = counters.writes_peak_per_s.max(writes_in_second);
+    }
+
+    /// Returns the list of instances with the lag of the faults in force.
+    pub(crate) fn lagging_list(&self) -> InstanceList {
+        let inner = lock(&self.inner);
+        inner.list.as_of(Duration::from_millis(inner.faults.lag_ms))
+    }
+
+    pub(crate) async fn announce(&self, instance: ListedInstance) -> Result<(), PlatformError> {
+        self.memory.announce(instance).await?;
+        self.record_list().await
+    }
+
+    pub(crate) async fn end_instance(&self, name: &str) -> Result<(), PlatformError> {
+        self.memory.end_instance(name);
+        self.record_list().await
+    }
+
+    /// Marks an instance as leaving; one not listed is passed over.
+    pub(crate) async fn set_leaving(&self, name: &str) -> Result<(), PlatformError> {
+        let list = self.memory.list_instances().await?;
+        let instances = list.instances.into_iter();
+        for mut instance in instances.filter(|instance| instance.name == name) {
+            instance.state = InstanceState::Leaving;
+            self.announce(instance).await?;
+        }
+        Ok(())
+    }
+
+    async fn record_list(&self) -> Result<(), PlatformError> {
+        let list = self.memory.list_instances().await?;
+        lock(&self.inner).list.record(list);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lib/testsupport/src/server.rs
@@ -0,0 +1,43 @@
+//! An HTTP server that runs until it is dropped.
+
+use std::io;
+use std::net::SocketAddr;
+
+use smol::net::TcpListener;
+use trillium::Handler;
+use trillium_server_common::ServerHandle;
+
+/// A running HTTP server.
+pub(crate) struct Server {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Server {
+    /// Binds `listen`, where port 0 takes any free one, and serves on smol's global executor.
+    pub(crate) async fn start(listen: SocketAddr, handler: impl Handler) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let handle = trillium_smol::config()
+            .with_prebound_server(listener)
+            .without_signals()
+            .with_nodelay()
+            .spawn(handler);
+        Ok(Self { address, handle })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the server has ended.
+    pub(crate) async fn ended(&self) {
+        self.handle.clone().await;
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        drop(self.handle.shut_down());
+    }
+}
