document: check every fault at once with path, line and reason

The shape is checked against the JSON Schema that the types generate, so bounds stand in one place; names, references, addresses and values that depend on each other are checked on the parsed text, also when the shape has faults elsewhere. A syntax error ends the reading and is reported alone.

--- /dev/null
+++ b/lib/src/check_cursor.rs
@@ -0,0 +1,88 @@
+//! A value of the parsed text together with its path.
+
+use jsonc_parser::ast::Array;
+use jsonc_parser::ast::ObjectProp;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+
+/// A value of the parsed text and its JSON pointer.
+#[derive(Clone)]
+pub(crate) struct Cursor<'t> {
+    /// The value.
+    pub(crate) value: &'t Value<'t>,
+    /// The JSON pointer from the root.
+    pub(crate) path: String,
+}
+
+impl<'t> Cursor<'t> {
+    /// The cursor at the root of a document.
+    pub(crate) fn root(value: &'t Value<'t>) -> Self {
+        Cursor {
+            value,
+            path: String::new(),
+        }
+    }
+
+    /// The byte offset at which the value starts.
+    pub(crate) fn offset(&self) -> usize {
+        self.value.range().start
+    }
+
+    /// The value of a property of this object, the first one when it is given twice.
+    pub(crate) fn field(&self, name: &str) -> Option<Cursor<'t>> {
+        let object = self.value.as_object()?;
+        let property = object
+            .properties
+            .iter()
+            .find(|property| property.name.as_str() == name)?;
+        Some(self.property(property))
+    }
+
+    /// The cursor at one property of this object.
+    pub(crate) fn property(&self, property: &'t ObjectProp<'t>) -> Cursor<'t> {
+        Cursor {
+            value: &property.value,
+            path: self.path_to(property.name.as_str()),
+        }
+    }
+
+    /// The JSON pointer of a property of this object.
+    pub(crate) fn path_to(&self, name: &str) -> String {
+        let escaped = name.replace('~', "~0").replace('/', "~1");
+        format!("{}/{escaped}", self.path)
+    }
+
+    /// The elements of a list that is a property of this object; none when it is no list.
+    pub(crate) fn items(&self, name: &str) -> Vec<Cursor<'t>> {
+        let Some(list) = self.field(name) else {
+            return Vec::new();
+        };
+        let Some(array) = list.value.as_array() else {
+            return Vec::new();
+        };
+        list.elements(array)
+    }
+
+    /// The cursors at the elements of this list.
+    pub(crate) fn elements(&self, array: &'t Array<'t>) -> Vec<Cursor<'t>> {
+        let elements = array.elements.iter().enumerate();
+        elements
+            .map(|(index, value)| Cursor {
+                value,
+                path: format!("{}/{index}", self.path),
+            })
+            .collect()
+    }
+
+    /// The string that this value is.
+    pub(crate) fn text(&self) -> Option<&'t str> {
+        let literal = self.value.as_string_lit()?;
+        Some(literal.value.as_ref())
+    }
+
+    /// The whole number that this value is.
+    pub(crate) fn number(&self) -> Option<i128> {
+        let literal = self.value.as_number_lit()?;
+        literal.value.parse().ok()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,10 +3,17 @@
 //! Time, randomness and input come in as values; output goes out as typed actions.
 
 pub mod check;
+mod check_cursor;
+mod check_names;
+mod check_report;
+mod check_shape;
+mod check_values;
 pub mod data_centre;
 pub mod document;
+pub mod document_limits;
 pub mod instance;
 pub mod policies;
+pub mod schema;
 pub mod service;
 pub mod team;
 pub mod upstream;
--- a/lib/src/policies.rs
+++ b/lib/src/policies.rs
@@ -2,6 +2,11 @@
 
 use almondhead_macros::document;
 
+use crate::document_limits::MAX_DIGEST_PERIOD_MS;
+use crate::document_limits::MAX_QUEUED_TASKS;
+use crate::document_limits::MAX_RETRY_PERCENT;
+use crate::document_limits::MIN_DIGEST_PERIOD_MS;
+
 /// What the firm weighs more where response time and messages are traded.
 #[document]
 #[derive(Copy, Eq, Default)]
@@ -88,10 +93,13 @@
     /// Whether overflow is forwarded to sibling entry instances.
     pub forward_overflow: bool,
     /// Retries allowed per hundred first attempts.
+    #[schemars(range(min = 0, max = MAX_RETRY_PERCENT))]
     pub retry_percent: u32,
     /// The most tasks that one entry instance queues for one service.
+    #[schemars(range(min = 1, max = MAX_QUEUED_TASKS))]
     pub max_queued_tasks: u32,
     /// The time between load digests to siblings in milliseconds.
+    #[schemars(range(min = MIN_DIGEST_PERIOD_MS, max = MAX_DIGEST_PERIOD_MS))]
     pub digest_period_ms: u32,
 }
 
