session: name sessions by tokens that cannot be forged

Every entry instance has to find a session's home without a shared list, so the token carries the home and an HMAC under the firm's key, with the key bound to the purpose so that a tag of one kind never serves for another.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time, randomness and input come in as values; output goes out as typed actions.
 
 pub mod action;
+mod authenticator;
 pub mod check;
 pub mod data_centre;
 pub mod dispatcher;
@@ -15,6 +16,7 @@
 pub mod peer_message;
 pub mod policies;
 pub mod service;
+pub mod session_token;
 pub mod submission;
 pub mod target;
 pub mod team;
--- /dev/null
+++ b/lib/src/session_token.rs
@@ -0,0 +1,111 @@
+//! Session ids as callers hold them: text that cannot be forged.
+
+use std::sync::Arc;
+
+use almondhead_macros::key;
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::authenticator::Authenticator;
+use crate::authenticator::Purpose;
+use crate::authenticator::TAG_BYTES;
+use crate::id::Incarnation;
+use crate::id::SessionId;
+
+/// The longest instance name that a token carries, in bytes.
+pub const MAX_INSTANCE_BYTES: usize = 255;
+
+/// The longest token in bytes of text.
+pub const MAX_TOKEN_BYTES: usize = (FIXED_BYTES + MAX_INSTANCE_BYTES + TAG_BYTES).div_ceil(3) * 4;
+
+const VERSION: u8 = 1;
+const FIXED_BYTES: usize = 1 + 8 + 8;
+
+/// Issues and verifies the tokens by which callers name their sessions.
+///
+/// A token is the URL-safe base64, without padding, of the session's fields and their
+/// HMAC-SHA256 under the firm's shared key, so every entry instance can verify it without a list.
+#[derive(Clone, Debug)]
+pub struct SessionTokens {
+    authenticator: Authenticator,
+}
+
+/// Why a token names no session.
+#[key]
+#[derive(Display, Error)]
+pub enum TokenError {
+    /// The text is longer than any token.
+    #[display("session token is longer than {MAX_TOKEN_BYTES} bytes")]
+    TooLong,
+    /// The text is not the encoding of a token.
+    #[display("session token is malformed")]
+    Malformed,
+    /// The token was not issued under this key.
+    #[display("session token was not issued here")]
+    NotIssued,
+}
+
+impl SessionTokens {
+    /// Tokens under the firm's shared `key`.
+    pub fn new(key: &[u8]) -> Self {
+        SessionTokens {
+            authenticator: Authenticator::new(key, Purpose::SessionToken),
+        }
+    }
+
+    /// The token that names `session`, whose instance name has at most
+    /// [`MAX_INSTANCE_BYTES`].
+    pub fn issue(&self, session: &SessionId) -> String {
+        debug_assert!(session.instance.len() <= MAX_INSTANCE_BYTES);
+        let mut bytes = encode_fields(session);
+        let tag = self.authenticator.tag(&bytes);
+        bytes.extend_from_slice(&tag);
+        URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// The session that `token` names.
+    ///
+    /// # Errors
+    ///
+    /// [`TokenError`] when the text is no token issued under this key.
+    pub fn verify(&self, token: &str) -> Result<SessionId, TokenError> {
+        if token.len() > MAX_TOKEN_BYTES {
+            return Err(TokenError::TooLong);
+        }
+        let bytes = URL_SAFE_NO_PAD
+            .decode(token)
+            .map_err(|_| TokenError::Malformed)?;
+        let (fields, tag) = bytes
+            .split_last_chunk::<TAG_BYTES>()
+            .ok_or(TokenError::Malformed)?;
+        if !self.authenticator.verify(fields, tag) {
+            return Err(TokenError::NotIssued);
+        }
+        decode_fields(fields).ok_or(TokenError::Malformed)
+    }
+}
+
+fn encode_fields(session: &SessionId) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(FIXED_BYTES + session.instance.len() + TAG_BYTES);
+    bytes.push(VERSION);
+    bytes.extend_from_slice(&session.home.0.to_be_bytes());
+    bytes.extend_from_slice(&session.number.to_be_bytes());
+    bytes.extend_from_slice(session.instance.as_bytes());
+    bytes
+}
+
+fn decode_fields(fields: &[u8]) -> Option<SessionId> {
+    let (version, rest) = fields.split_first()?;
+    let (home, rest) = rest.split_first_chunk::<8>()?;
+    let (number, instance) = rest.split_first_chunk::<8>()?;
+    if *version != VERSION {
+        return None;
+    }
+    Some(SessionId {
+        home: Incarnation(u64::from_be_bytes(*home)),
+        instance: Arc::from(std::str::from_utf8(instance).ok()?),
+        number: u64::from_be_bytes(*number),
+    })
+}
