--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod action;
 pub mod admission;
+mod authenticator;
 mod batching;
 pub mod check;
 mod check_cursor;
@@ -61,6 +62,7 @@
 mod service_state;
 mod session;
 mod sibling_table;
+pub mod session_token;
 pub mod slow_weight;
 mod starting;
 pub mod submission;
