--- a/lib/tests/job_promises.rs
+++ b/lib/tests/job_promises.rs
@@ -1,12 +1,10 @@
 //! Random sequences of events with losses, duplicates, pauses and restarts keep the promises.
 
-mod core_fakes;
-
 use std::time::Duration;
 
-use core_fakes::CoreFakes;
-use core_fakes::TableEnd;
-use core_fakes::UpstreamEnd;
+use almondhead_testsupport::core_fakes::CoreFakes;
+use almondhead_testsupport::core_fakes::TableEnd;
+use almondhead_testsupport::core_fakes::UpstreamEnd;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -48,7 +46,7 @@
     match (step.kind % 32, message, attempt, claim, job) {
         (0 | 1, ..) => drop(fakes.submit_in_session(instance, tasks)),
         (2 | 3, ..) => drop(fakes.submit_by_key(instance, tasks)),
-        (4 | 5 | 6, .., Some(job)) => fakes.submit_again(job, instance),
+        (4..=6, .., Some(job)) => fakes.submit_again(job, instance),
         (7, .., Some(job)) => fakes.cancel(job, instance),
         (8..=15, Some(message), ..) => fakes.deliver(message, false),
         (16, Some(message), ..) => fakes.deliver(message, true),
--- a/lib/tests/core_fakes/mod.rs
+++ b/lib/testsupport/src/core_fakes.rs
@@ -29,7 +29,7 @@
 use indexmap::IndexMap;
 
 /// A document with two data centres, one service and a few upstreams of two slots.
-pub(crate) const DOCUMENT: &str = r#"{
+pub const DOCUMENT: &str = r#"{
   "firm": "test",
   "policies": { "retry_percent": 100 },
   "data_centres": [
@@ -56,40 +56,53 @@
 
 /// How a fake upstream ends an attempt.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum UpstreamEnd {
+pub enum UpstreamEnd {
+    /// It runs the task and answers whole.
     Finish,
+    /// It runs the task and answers that it failed.
     Fail,
+    /// Its guard refuses the task.
     Refuse,
+    /// It runs the task and the answer is lost.
     Lose,
 }
 
 /// How the fake table ends a claim.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum TableEnd {
+pub enum TableEnd {
+    /// The claim takes effect when it is the first, and the answer arrives.
     Answer,
+    /// The claim takes effect when it is the first, and the answer is lost.
     ApplyAndLose,
+    /// Nothing takes effect.
     Unavailable,
 }
 
 /// A message under way.
 #[derive(Clone, Debug)]
-pub(crate) struct Envelope {
-    pub(crate) sender: PeerIdentity,
-    pub(crate) to: usize,
-    pub(crate) message: PeerMessage,
+pub struct Envelope {
+    /// Who sent it.
+    pub sender: PeerIdentity,
+    /// The place of the instance that it is for.
+    pub to: usize,
+    /// The message.
+    pub message: PeerMessage,
 }
 
 /// A task that an upstream got.
 #[derive(Clone, Debug)]
-pub(crate) struct OpenAttempt {
-    pub(crate) instance: usize,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) attempt: Attempt,
+pub struct OpenAttempt {
+    /// The place of the instance that sent it.
+    pub instance: usize,
+    /// The incarnation that sent it.
+    pub incarnation: Incarnation,
+    /// The attempt.
+    pub attempt: Attempt,
 }
 
 /// A claim that the table has not answered.
 #[derive(Clone, Debug)]
-pub(crate) struct OpenClaim {
+pub struct OpenClaim {
     instance: usize,
     incarnation: Incarnation,
     claim: u64,
@@ -99,12 +112,19 @@
 
 /// A job as its caller knows it.
 #[derive(Debug)]
-pub(crate) struct KnownJob {
-    pub(crate) address: JobAddress,
-    pub(crate) submission: Arc<Submission>,
-    pub(crate) open_requests: usize,
-    pub(crate) not_run_answers: usize,
-    pub(crate) other_answers: usize,
+pub struct KnownJob {
+    /// Its address.
+    pub address: JobAddress,
+    /// What was submitted.
+    pub submission: Arc<Submission>,
+    /// Requests about it that have no answer.
+    pub open_requests: usize,
+    /// Answers that nothing of it ran.
+    pub not_run_answers: usize,
+    /// Complete answers.
+    pub complete_answers: usize,
+    /// Answers that it failed.
+    pub failed_answers: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -114,14 +134,20 @@
 }
 
 /// Three dispatchers in two data centres, and the fakes round them.
-pub(crate) struct CoreFakes {
-    pub(crate) now: Timestamp,
-    pub(crate) dispatchers: Vec<Dispatcher>,
-    pub(crate) messages: Vec<Envelope>,
-    pub(crate) attempts: Vec<OpenAttempt>,
-    pub(crate) claims: Vec<OpenClaim>,
-    pub(crate) jobs: Vec<KnownJob>,
-    pub(crate) faults: String,
+pub struct CoreFakes {
+    /// The time at every dispatcher.
+    pub now: Timestamp,
+    /// The dispatchers, `a` and `b` in one data centre and `c` in the other.
+    pub dispatchers: Vec<Dispatcher>,
+    /// Messages under way.
+    pub messages: Vec<Envelope>,
+    /// Attempts at upstreams.
+    pub attempts: Vec<OpenAttempt>,
+    /// Claims at the table.
+    pub claims: Vec<OpenClaim>,
+    /// Every job submitted.
+    pub jobs: Vec<KnownJob>,
+    faults: String,
     requests: IndexMap<RequestId, usize>,
     started: IndexMap<TaskStart, u32>,
     table: IndexMap<Arc<str>, (PeerIdentity, u64)>,
@@ -129,9 +155,15 @@
     next_request: u64,
 }
 
+impl Default for CoreFakes {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl CoreFakes {
     /// Dispatchers with the document and each other's names.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         let mut fakes = CoreFakes {
             now: Timestamp::from_us(1_000_000),
             dispatchers: Vec::new(),
@@ -199,7 +231,7 @@
     }
 
     /// Hands an event to a dispatcher and carries its actions out.
-    pub(crate) fn handle(&mut self, instance: usize, event: Event) {
+    pub fn handle(&mut self, instance: usize, event: Event) {
         let mut actions = Vec::new();
         self.dispatchers[instance].handle(self.now, event, &mut actions);
         for action in actions {
@@ -257,9 +289,9 @@
         known.open_requests -= 1;
         match answer {
             JobAnswer::NotRun { .. } => known.not_run_answers += 1,
-            JobAnswer::Failed { .. } => known.other_answers += 1,
+            JobAnswer::Failed { .. } => known.failed_answers += 1,
             JobAnswer::Complete { results } => {
-                known.other_answers += 1;
+                known.complete_answers += 1;
                 if *results != known.submission.inputs {
                     self.faults += &format!("job {job} got another's answer: {results:?}\n");
                 }
@@ -268,7 +300,7 @@
     }
 
     /// Opens a session at an instance and submits a job in it.
-    pub(crate) fn submit_in_session(&mut self, instance: usize, tasks: usize) -> usize {
+    pub fn submit_in_session(&mut self, instance: usize, tasks: usize) -> usize {
         let session = self.dispatchers[instance].open_session(self.now);
         let session = session.expect("a session");
         let number = 1;
@@ -276,7 +308,7 @@
     }
 
     /// Submits a job by an idempotency key.
-    pub(crate) fn submit_by_key(&mut self, instance: usize, tasks: usize) -> usize {
+    pub fn submit_by_key(&mut self, instance: usize, tasks: usize) -> usize {
         let address = JobAddress::Key {
             team: Arc::from("sales"),
             key: Arc::from(format!("key-{}", self.jobs.len())),
@@ -302,14 +334,15 @@
             submission,
             open_requests: 0,
             not_run_answers: 0,
-            other_answers: 0,
+            complete_answers: 0,
+            failed_answers: 0,
         });
         self.submit_again(job, instance);
         job
     }
 
     /// Submits a known job, through any instance.
-    pub(crate) fn submit_again(&mut self, job: usize, instance: usize) {
+    pub fn submit_again(&mut self, job: usize, instance: usize) {
         let request = self.new_request(job);
         let address = self.jobs[job].address.clone();
         let submission = self.jobs[job].submission.clone();
@@ -324,7 +357,7 @@
     }
 
     /// Cancels a known job, through any instance.
-    pub(crate) fn cancel(&mut self, job: usize, instance: usize) {
+    pub fn cancel(&mut self, job: usize, instance: usize) {
         let request = self.new_request(job);
         let address = self.jobs[job].address.clone();
         self.handle(instance, Event::Cancelled { request, address });
@@ -339,7 +372,7 @@
     }
 
     /// Delivers a message and keeps a copy when `again`.
-    pub(crate) fn deliver(&mut self, index: usize, again: bool) {
+    pub fn deliver(&mut self, index: usize, again: bool) {
         let envelope = if again {
             self.messages[index].clone()
         } else {
@@ -353,7 +386,7 @@
     }
 
     /// Delivers every message, and those that they cause.
-    pub(crate) fn deliver_all(&mut self) {
+    pub fn deliver_all(&mut self) {
         for _ in 0..10_000 {
             if self.messages.is_empty() {
                 return;
@@ -364,7 +397,7 @@
     }
 
     /// Ends an attempt at its upstream.
-    pub(crate) fn end_attempt(&mut self, index: usize, end: UpstreamEnd) {
+    pub fn end_attempt(&mut self, index: usize, end: UpstreamEnd) {
         let open = self.attempts.remove(index);
         let end = match end {
             UpstreamEnd::Finish => AttemptEnd::Finished {
@@ -385,7 +418,7 @@
     }
 
     /// Lets the table answer a claim.
-    pub(crate) fn end_claim(&mut self, index: usize, end: TableEnd) {
+    pub fn end_claim(&mut self, index: usize, end: TableEnd) {
         let open = self.claims.remove(index);
         let identity = PeerIdentity {
             instance: Arc::from(NAMES[open.instance]),
@@ -410,7 +443,7 @@
     }
 
     /// Lets time pass at every dispatcher.
-    pub(crate) fn advance(&mut self, duration: Duration) {
+    pub fn advance(&mut self, duration: Duration) {
         self.now = self.now + duration;
         for instance in 0..self.dispatchers.len() {
             self.handle(instance, Event::Tick);
@@ -418,13 +451,13 @@
     }
 
     /// Kills an instance and starts it anew; its callers get no answer.
-    pub(crate) fn restart(&mut self, instance: usize) {
+    pub fn restart(&mut self, instance: usize) {
         self.dispatchers[instance] = self.new_dispatcher(instance);
         self.prepare(instance);
     }
 
     /// Every promise that does not hold now, a line each; empty when all hold.
-    pub(crate) fn broken_promises(&self) -> String {
+    pub fn broken_promises(&self) -> String {
         let mut broken = self.faults.clone();
         let mut possible = self.started.clone();
         for open in &self.attempts {
@@ -435,7 +468,8 @@
                 broken += &format!("{start:?} may have started {count} times\n");
             }
             let job = &self.jobs[start.job];
-            let only_not_run = job.open_requests == 0 && job.other_answers == 0;
+            let only_not_run =
+                job.open_requests == 0 && job.complete_answers + job.failed_answers == 0;
             if *count > 0 && only_not_run {
                 broken += &format!("{start:?} may have started after \"not run\"\n");
             }
--- a/lib/testsupport/src/lib.rs
+++ b/lib/testsupport/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod broken_body;
 mod command;
+pub mod core_fakes;
 mod locking;
 mod platform;
 mod request;
