--- /dev/null
+++ b/lib/tests/home_rules.rs
@@ -0,0 +1,199 @@
+//! A job belongs to one incarnation: what its home answers, and others for it.
+
+use std::time::Duration;
+
+use almondhead_lib::id::JobAddress;
+use almondhead_lib::outcome::FailReason;
+use almondhead_lib::outcome::JobAnswer;
+use almondhead_lib::outcome::NotRunReason;
+use almondhead_testsupport::core_fakes::CoreFakes;
+use almondhead_testsupport::core_fakes::TableEnd;
+use almondhead_testsupport::core_fakes::UpstreamEnd;
+
+const HOME: usize = 0;
+const OTHER: usize = 1;
+
+/// Ends every attempt that was started, until none is left.
+fn finish_all(fakes: &mut CoreFakes) {
+    while !fakes.attempts.is_empty() {
+        fakes.end_attempt(0, UpstreamEnd::Finish);
+        fakes.deliver_all();
+    }
+}
+
+fn not_run(answer: &JobAnswer) -> Option<NotRunReason> {
+    match answer {
+        JobAnswer::NotRun { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+fn failed(answer: &JobAnswer) -> Option<FailReason> {
+    match answer {
+        JobAnswer::Failed { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn joined_while_running() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(HOME, 2);
+    fakes.submit_again(job, HOME);
+    fakes.submit_again(job, OTHER);
+    fakes.deliver_all();
+    assert_eq!(fakes.attempts.len(), 2);
+    finish_all(&mut fakes);
+    assert_eq!(fakes.jobs[job].complete_answers, 3);
+    assert_eq!(fakes.broken_promises(), "");
+}
+
+#[test]
+fn kept_answer() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(HOME, 1);
+    finish_all(&mut fakes);
+    fakes.submit_again(job, OTHER);
+    fakes.deliver_all();
+    assert_eq!(fakes.jobs[job].complete_answers, 2);
+    assert_eq!(fakes.attempts.len(), 0);
+}
+
+#[test]
+fn expired_answer() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(HOME, 1);
+    finish_all(&mut fakes);
+    fakes.advance(Duration::from_secs(61));
+    fakes.submit_again(job, HOME);
+    let answer = fakes.last_answer(job);
+    assert_eq!(failed(&answer), Some(FailReason::AnswerExpired));
+    assert_eq!(fakes.attempts.len(), 0);
+}
+
+#[test]
+fn restarted_home() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(HOME, 1);
+    fakes.restart(HOME);
+    fakes.deliver_all();
+    for instance in [HOME, OTHER] {
+        fakes.submit_again(job, instance);
+        fakes.deliver_all();
+        let answer = fakes.last_answer(job);
+        assert_eq!(failed(&answer), Some(FailReason::HomeGone));
+    }
+    assert_eq!(fakes.attempts.len(), 1, "only the first start");
+}
+
+#[test]
+fn silent_home() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(HOME, 1);
+    fakes.submit_again(job, OTHER);
+    fakes.messages.clear();
+    for _ in 0..6 {
+        fakes.advance(Duration::from_millis(500));
+        fakes.messages.clear();
+    }
+    let answer = fakes.last_answer(job);
+    let JobAnswer::Failed {
+        reason,
+        retry_after,
+        ..
+    } = answer
+    else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(reason, FailReason::HomeUnreachable);
+    assert!(retry_after.is_some());
+}
+
+#[test]
+fn other_content() {
+    let mut fakes = CoreFakes::new();
+    let first = fakes.submit_in_session(HOME, 1);
+    let second = fakes.submit_in_session(HOME, 2);
+    fakes.jobs[second].address = fakes.jobs[first].address.clone();
+    fakes.submit_again(second, HOME);
+    let answer = fakes.last_answer(second);
+    assert_eq!(failed(&answer), Some(FailReason::AddressReused));
+}
+
+#[test]
+fn old_number() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(HOME, 1);
+    let JobAddress::Session { session, .. } = fakes.jobs[job].address.clone() else {
+        panic!("a job of a session");
+    };
+    finish_all(&mut fakes);
+    let late = fakes.submit_in_session(HOME, 1);
+    fakes.jobs[late].address = JobAddress::Session {
+        session,
+        number: 100,
+    };
+    fakes.submit_again(late, HOME);
+    fakes.submit_again(job, HOME);
+    let answer = fakes.last_answer(job);
+    assert_eq!(failed(&answer), Some(FailReason::AnswerExpired));
+}
+
+#[test]
+fn cancelled_first() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(HOME, 300);
+    fakes.cancel(job, OTHER);
+    fakes.deliver_all();
+    let answer = fakes.last_answer(job);
+    assert_eq!(failed(&answer), Some(FailReason::Cancelled));
+    fakes.submit_again(job, OTHER);
+    fakes.deliver_all();
+    let answer = fakes.last_answer(job);
+    assert_eq!(failed(&answer), Some(FailReason::Cancelled));
+}
+
+#[test]
+fn claimed_twice() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_by_key(HOME, 2);
+    fakes.submit_again(job, OTHER);
+    assert_eq!(fakes.attempts.len(), 0, "nothing starts before the claim");
+    fakes.end_claim(0, TableEnd::Answer);
+    fakes.end_claim(0, TableEnd::Answer);
+    fakes.deliver_all();
+    finish_all(&mut fakes);
+    assert_eq!(fakes.jobs[job].complete_answers, 2);
+    assert_eq!(fakes.broken_promises(), "");
+}
+
+#[test]
+fn lost_claim() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_by_key(HOME, 1);
+    fakes.end_claim(0, TableEnd::ApplyAndLose);
+    let answer = fakes.last_answer(job);
+    assert_eq!(not_run(&answer), Some(NotRunReason::ClaimUnavailable));
+    fakes.submit_again(job, HOME);
+    fakes.end_claim(0, TableEnd::Answer);
+    finish_all(&mut fakes);
+    assert_eq!(fakes.jobs[job].complete_answers, 1);
+    assert_eq!(fakes.broken_promises(), "");
+}
+
+#[test]
+fn key_of_dead_home() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_by_key(HOME, 1);
+    fakes.end_claim(0, TableEnd::Answer);
+    fakes.restart(HOME);
+    fakes.deliver_all();
+    for instance in [HOME, OTHER] {
+        fakes.submit_again(job, instance);
+        fakes.end_claim(0, TableEnd::Answer);
+        fakes.deliver_all();
+        let answer = fakes.last_answer(job);
+        assert_eq!(failed(&answer), Some(FailReason::HomeGone));
+    }
+    assert_eq!(fakes.attempts.len(), 1, "only the first start");
+}
--- /dev/null
+++ b/lib/tests/leaving_upstream.rs
@@ -0,0 +1,107 @@
+//! Upstreams and instances that leave get no new work, and lose none.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondhead_lib::event::Event;
+use almondhead_lib::membership::Membership;
+use almondhead_lib::outcome::JobAnswer;
+use almondhead_lib::outcome::NotRunReason;
+use almondhead_testsupport::core_fakes::CoreFakes;
+use almondhead_testsupport::core_fakes::DOCUMENT;
+use almondhead_testsupport::core_fakes::UpstreamEnd;
+use bytes::Bytes;
+
+/// The instance with an upstream of its own, `u3`.
+const WEST: usize = 2;
+
+const LEAVES_AT_UNIX_MS: u64 = 1_800_000_000_000;
+
+fn install(fakes: &mut CoreFakes, revision: u64, text: &str) {
+    let document = almondhead_lib::check::check_document(text).expect("a valid document");
+    fakes.handle(
+        WEST,
+        Event::DocumentInstalled {
+            revision,
+            document: Arc::new(document),
+            text: Bytes::copy_from_slice(text.as_bytes()),
+        },
+    );
+}
+
+fn leaving_document() -> String {
+    let leaves = format!(r#""name": "u3", "leaves_at_unix_ms": {LEAVES_AT_UNIX_MS},"#);
+    DOCUMENT.replace(r#""name": "u3","#, &leaves)
+}
+
+fn attempts_at_u3(fakes: &CoreFakes) -> usize {
+    let attempts = fakes.attempts.iter();
+    let at_u3 = attempts.filter(|open| &*open.attempt.target.name == "u3");
+    at_u3.count()
+}
+
+#[test]
+fn by_document() {
+    let mut fakes = CoreFakes::new();
+    install(&mut fakes, 2, &leaving_document());
+    let unix_ms = LEAVES_AT_UNIX_MS - 3_000;
+    fakes.handle(WEST, Event::WallClockRead { unix_ms });
+    fakes.submit_in_session(WEST, 1);
+    assert_eq!(fakes.attempts.len(), 1, "it has not left yet");
+    fakes.advance(Duration::from_secs(3));
+    fakes.submit_in_session(WEST, 1);
+    assert_eq!(attempts_at_u3(&fakes), 1, "no new task after it left");
+    fakes.end_attempt(0, UpstreamEnd::Finish);
+    assert_eq!(fakes.jobs[0].complete_answers, 1, "what ran was not cut");
+}
+
+#[test]
+fn by_list() {
+    let mut fakes = CoreFakes::new();
+    let leaving = Membership {
+        leaving_upstreams: vec![Arc::from("u3")],
+        ..Membership::default()
+    };
+    fakes.handle(WEST, Event::MembershipChanged(leaving));
+    fakes.submit_in_session(WEST, 1);
+    assert_eq!(fakes.attempts.len(), 1, "another upstream takes it");
+    assert_eq!(attempts_at_u3(&fakes), 0);
+}
+
+#[test]
+fn older_revision() {
+    let mut fakes = CoreFakes::new();
+    install(&mut fakes, 3, &leaving_document());
+    install(&mut fakes, 2, DOCUMENT);
+    assert_eq!(fakes.dispatchers[WEST].status().revision, 3);
+    fakes.advance(Duration::from_secs(1));
+    fakes.deliver_all();
+    let revisions = fakes.dispatchers.iter().map(|d| d.status().revision);
+    assert_eq!(
+        revisions.collect::<Vec<u64>>(),
+        [3, 3, 3],
+        "siblings follow"
+    );
+}
+
+#[test]
+fn stopping_instance() {
+    let mut fakes = CoreFakes::new();
+    let job = fakes.submit_in_session(WEST, 6);
+    fakes.handle(WEST, Event::StopRequested);
+    assert!(!fakes.dispatchers[WEST].is_idle());
+    fakes.submit_by_key(WEST, 1);
+    let JobAnswer::NotRun { reason, .. } = fakes.last_answer(1) else {
+        panic!("a new job was taken");
+    };
+    assert_eq!(reason, NotRunReason::Leaving);
+    for _ in 0..20 {
+        fakes.deliver_all();
+        if fakes.attempts.is_empty() {
+            break;
+        }
+        fakes.end_attempt(0, UpstreamEnd::Finish);
+    }
+    assert_eq!(fakes.jobs[job].complete_answers, 1);
+    assert!(fakes.dispatchers[WEST].is_idle());
+}
--- a/lib/testsupport/src/core_fakes.rs
+++ b/lib/testsupport/src/core_fakes.rs
@@ -125,6 +125,8 @@
     pub complete_answers: usize,
     /// Answers that it failed.
     pub failed_answers: usize,
+    /// The latest answer.
+    pub last_answer: Option<JobAnswer>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -287,6 +289,7 @@
         };
         let known = &mut self.jobs[job];
         known.open_requests -= 1;
+        known.last_answer = Some(answer.clone());
         match answer {
             JobAnswer::NotRun { .. } => known.not_run_answers += 1,
             JobAnswer::Failed { .. } => known.failed_answers += 1,
@@ -336,6 +339,7 @@
             not_run_answers: 0,
             complete_answers: 0,
             failed_answers: 0,
+            last_answer: None,
         });
         self.submit_again(job, instance);
         job
@@ -371,6 +375,16 @@
         request
     }
 
+    /// The latest answer about a job.
+    ///
+    /// # Panics
+    ///
+    /// When there was none.
+    pub fn last_answer(&self, job: usize) -> JobAnswer {
+        let answer = self.jobs[job].last_answer.clone();
+        answer.expect("an answer")
+    }
+
     /// Delivers a message and keeps a copy when `again`.
     pub fn deliver(&mut self, index: usize, again: bool) {
         let envelope = if again {
