--- /dev/null
+++ b/lib/testsupport/src/fault_proxy/proxy.rs
@@ -0,0 +1,112 @@
+//! A running fault proxy.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use smol::Task;
+use smol::Timer;
+use smol::net::TcpListener;
+
+use super::connection::serve;
+use super::counters::ProxyCounters;
+use super::faults::ProxyFaults;
+use super::state::ProxyState;
+use crate::locking::lock;
+
+/// The pause between two released answers, so that they arrive in order.
+const RELEASE_GAP: Duration = Duration::from_millis(5);
+
+/// A TCP proxy on smol's global executor. Dropping it closes its listener and its connections.
+pub struct FaultProxy {
+    address: SocketAddr,
+    state: Arc<ProxyState>,
+    listening: Mutex<Option<Task<()>>>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy on a free loopback port in front of `target`.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(ProxyState::new(target));
+        let listening = Mutex::new(Some(accept(listener, &state)));
+        Ok(Self {
+            address,
+            state,
+            listening,
+        })
+    }
+
+    /// Returns the address that clients connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what it did so far.
+    pub fn counters(&self) -> ProxyCounters {
+        self.state.counters()
+    }
+
+    /// Puts these faults in force, in place of the ones before.
+    pub fn set_faults(&self, faults: ProxyFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Cuts all open connections.
+    pub fn cut_all(&self) {
+        drop(self.state.take_connections());
+    }
+
+    /// Refuses new connections, until it is healed. Open ones stay.
+    pub async fn refuse(&self) {
+        let listening = lock(&self.listening).take();
+        if let Some(listening) = listening {
+            listening.cancel().await;
+        }
+    }
+
+    /// Ends all faults: passes on what a black hole caught, and takes new connections again.
+    pub async fn heal(&self) -> io::Result<()> {
+        self.state.set_faults(ProxyFaults::default());
+        drop(self.state.take_held());
+        let refusing = lock(&self.listening).is_none();
+        if refusing {
+            let listener = TcpListener::bind(self.address).await?;
+            *lock(&self.listening) = Some(accept(listener, &self.state));
+        }
+        Ok(())
+    }
+
+    /// Releases the answers held, the newest first, and holds no more.
+    pub async fn release_reversed(&self) {
+        for answer in self.state.take_held().into_iter().rev() {
+            drop(answer);
+            Timer::after(RELEASE_GAP).await;
+        }
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        drop(lock(&self.listening).take());
+        self.cut_all();
+    }
+}
+
+fn accept(listener: TcpListener, state: &Arc<ProxyState>) -> Task<()> {
+    let state = Arc::clone(state);
+    smol::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let serving = Arc::clone(&state);
+            state.open(|number| {
+                smol::spawn(async move {
+                    serve(&serving, client).await;
+                    serving.close(number);
+                })
+            });
+        }
+    })
+}
--- /dev/null
+++ b/lib/testsupport/src/fault_proxy/state.rs
@@ -0,0 +1,103 @@
+//! What a proxy and its connections share.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use indexmap::IndexMap;
+use smol::Task;
+
+use super::counters::ProxyCounters;
+use super::faults::ProxyFaults;
+use super::held_answers::HeldAnswers;
+use crate::locking::lock;
+
+/// The state of a proxy.
+pub(crate) struct ProxyState {
+    /// The server that connections go to.
+    pub(crate) target: SocketAddr,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    faults: ProxyFaults,
+    counters: ProxyCounters,
+    held: HeldAnswers,
+    connections: IndexMap<u64, Task<()>>,
+}
+
+impl ProxyState {
+    pub(crate) fn new(target: SocketAddr) -> Self {
+        Self {
+            target,
+            inner: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn faults(&self) -> ProxyFaults {
+        lock(&self.inner).faults.clone()
+    }
+
+    pub(crate) fn set_faults(&self, faults: ProxyFaults) {
+        lock(&self.inner).faults = faults;
+    }
+
+    pub(crate) fn counters(&self) -> ProxyCounters {
+        lock(&self.inner).counters.clone()
+    }
+
+    pub(crate) fn count(&self, count: impl FnOnce(&mut ProxyCounters)) {
+        count(&mut lock(&self.inner).counters);
+    }
+
+    /// Numbers a new connection and spawns what serves it.
+    pub(crate) fn open(&self, serve: impl FnOnce(u64) -> Task<()>) {
+        let mut inner = lock(&self.inner);
+        let counters = &mut inner.counters;
+        counters.connections += 1;
+        counters.open += 1;
+        counters.open_peak = counters.open_peak.max(counters.open);
+        let number = counters.connections;
+        let task = serve(number);
+        inner.connections.insert(number, task);
+    }
+
+    /// Forgets a connection that has ended by itself.
+    pub(crate) fn close(&self, number: u64) {
+        let mut inner = lock(&self.inner);
+        if let Some(task) = inner.connections.swap_remove(&number) {
+            inner.counters.open -= 1;
+            task.detach();
+        }
+    }
+
+    /// Takes all open connections. Dropping an item cuts its connection.
+    pub(crate) fn take_connections(&self) -> Vec<Task<()>> {
+        let mut inner = lock(&self.inner);
+        let connections = std::mem::take(&mut inner.connections);
+        inner.counters.cuts += connections.len() as u64;
+        inner.counters.open = 0;
+        connections.into_values().collect()
+    }
+
+    /// Holds an answer if the faults in force say so.
+    pub(crate) fn hold_answer(&self) -> Option<Receiver<()>> {
+        let mut inner = lock(&self.inner);
+        if !inner.faults.hold_answers {
+            return None;
+        }
+        inner.counters.held += 1;
+        Some(inner.held.hold())
+    }
+
+    /// Stops holding answers, and returns the held ones in the order in which they came.
+    pub(crate) fn take_held(&self) -> Vec<Sender<()>> {
+        let mut inner = lock(&self.inner);
+        inner.faults.hold_answers = false;
+        let held = inner.held.take();
+        inner.counters.released += held.len() as u64;
+        held
+    }
+}
--- /dev/null
+++ b/lib/testsupport/src/process.rs
@@ -0,0 +1,11 @@
+//! Processes that a test starts, and always ends.
+
+mod error;
+mod handle;
+mod output;
+mod workspace;
+
+pub use error::ProcessError;
+pub use handle::ProcessHandle;
+pub use workspace::free_address;
+pub use workspace::workspace_binary;
