document: keep revisions in the platform and tell racing writers apart

Accepting a document is one compare-and-set of the head row. Each head is copied to the history before a newer one replaces it, so a submitter whose answer was lost finds its own token even after it was overtaken, and the history lists without a scan. Repeating the compare-and-set is safe, as every attempt expects the same row revision.

--- a/lib/src/check_cursor.rs
+++ b/lib/src/check_cursor.rs
@@ -5,6 +5,8 @@
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
 
+use crate::document_diff::escape_pointer;
+
 /// A value of the parsed text and its JSON pointer.
 #[derive(Clone)]
 pub(crate) struct Cursor<'t> {
@@ -48,8 +50,7 @@
 
     /// The JSON pointer of a property of this object.
     pub(crate) fn path_to(&self, name: &str) -> String {
-        let escaped = name.replace('~', "~0").replace('/', "~1");
-        format!("{}/{escaped}", self.path)
+        format!("{}/{}", self.path, escape_pointer(name))
     }
 
     /// The elements of a list that is a property of this object; none when it is no list.
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -1,10 +1,16 @@
 //! Network clients of the almondhead processes: HTTP exchanges that say what was really sent, and
 //! the platform's table, objects and instance list behind a trait.
 
+mod document_store;
 mod http;
 mod path_segment;
 mod platform;
 
+pub use crate::document_store::DocumentStore;
+pub use crate::document_store::DocumentStoreError;
+pub use crate::document_store::DocumentStoreStep;
+pub use crate::document_store::Submission;
+pub use crate::document_store::Submitted;
 pub use crate::http::ExchangeError;
 pub use crate::http::Failure;
 pub use crate::http::HttpClient;
