peer: encode messages between entries strictly and under the firm's key

An entry's peer port is open to its network, so a message is parsed only after its tag verifies, and a decoded one holds no missing part, unknown value or list past its bound.

--- /dev/null
+++ b/lib/gen-protos/src/lib.rs
@@ -0,0 +1,41 @@
+//! Generates the peer message types of `almondhead-lib` from their `.proto` file.
+
+use std::error::Error;
+use std::path::Path;
+use std::path::PathBuf;
+
+use prost_build::Config;
+use prost_build::Module;
+
+const PROTO_FILE: &str = "peer.proto";
+const HEADER: &str =
+    "// Generated from lib/proto/peer.proto by almondhead-gen-protos. Do not edit.\n";
+
+/// The text of the generated module.
+///
+/// # Errors
+///
+/// When the `.proto` file cannot be read or is not valid.
+pub fn generate() -> Result<String, Box<dyn Error>> {
+    let files = protox::compile([PROTO_FILE], [lib_dir().join("proto")])?;
+    let modules = files
+        .file
+        .into_iter()
+        .map(|file| (Module::from_protobuf_package_name(file.package()), file))
+        .collect();
+    let generated = Config::new().bytes(["."]).generate(modules)?;
+    let mut text = String::from(HEADER);
+    for module in generated.into_values() {
+        text.push_str(&module);
+    }
+    Ok(text)
+}
+
+/// Where the generated module is committed.
+pub fn committed_path() -> PathBuf {
+    lib_dir().join("src").join("peer_proto.rs")
+}
+
+fn lib_dir() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
+}
--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -1,2 +1,12 @@
-//! x
-fn main() {}
+//! Writes the generated peer message types; run by hand when the `.proto` file changes.
+
+use std::error::Error;
+use std::fs;
+
+use almondhead_gen_protos::committed_path;
+use almondhead_gen_protos::generate;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    fs::write(committed_path(), generate()?)?;
+    Ok(())
+}
--- a/lib/src/authenticator.rs
+++ b/lib/src/authenticator.rs
@@ -14,12 +14,15 @@
 pub(crate) enum Purpose {
     /// The identity of a session.
     SessionToken,
+    /// A message between entry instances.
+    PeerEnvelope,
 }
 
 impl Purpose {
     const fn label(self) -> &'static [u8] {
         match self {
             Purpose::SessionToken => b"almondhead session token 1\0",
+            Purpose::PeerEnvelope => b"almondhead peer envelope 1\0",
         }
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -37,7 +37,12 @@
 pub mod overflow_batched;
 pub mod overflow_eager;
 pub mod ownership;
+pub mod peer_codec;
+pub mod peer_envelope;
 pub mod peer_message;
+#[allow(clippy::all, missing_docs, unreachable_pub)]
+#[rustfmt::skip]
+pub mod peer_proto;
 mod pending_claim;
 mod plan;
 pub mod policies;
@@ -54,8 +59,8 @@
 pub mod service;
 mod service_state;
 mod session;
-mod sibling_table;
 pub mod session_token;
+mod sibling_table;
 pub mod slow_weight;
 mod starting;
 pub mod submission;
--- /dev/null
+++ b/lib/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! Values that several test files draw.
+
+pub(crate) mod any_message;
--- /dev/null
+++ b/lib/tests/peer_codec.rs
@@ -0,0 +1,239 @@
+//! Peer messages as generated types, as bytes and as noise.
+
+mod common;
+
+use std::sync::Arc;
+
+use almondhead_lib::event::PeerIdentity;
+use almondhead_lib::id::Incarnation;
+use almondhead_lib::peer_codec::DecodeError;
+use almondhead_lib::peer_codec::MAX_BATCHES_PER_CANCEL;
+use almondhead_lib::peer_codec::MAX_NAME_BYTES;
+use almondhead_lib::peer_codec::MAX_TASKS;
+use almondhead_lib::peer_envelope::Envelope;
+use almondhead_lib::peer_envelope::EnvelopeSealer;
+use almondhead_lib::peer_envelope::MAX_ENVELOPE_BYTES;
+use almondhead_lib::peer_envelope::OpenError;
+use almondhead_lib::peer_envelope::SealError;
+use almondhead_lib::peer_message::PeerMessage;
+use almondhead_lib::peer_proto as proto;
+use almondhead_lib::peer_proto::peer_message::Kind;
+use bytes::Bytes;
+use prost::Message;
+use quickcheck::Gen;
+use quickcheck::quickcheck;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::common::any_message::AnyMessage;
+use crate::common::any_message::KINDS;
+use crate::common::any_message::message_of_kind;
+
+const KEY: &[u8] = b"a key of the firm, 32 bytes long";
+const SEED: u64 = 0x5eed;
+const NOISE_ROUNDS: usize = 20_000;
+
+fn envelope(message: PeerMessage) -> Envelope {
+    Envelope {
+        sender: PeerIdentity {
+            instance: Arc::from("ate-1"),
+            incarnation: Incarnation(7),
+        },
+        message,
+    }
+}
+
+fn digest() -> Option<proto::LoadDigest> {
+    Some(proto::LoadDigest::default())
+}
+
+fn decode(kind: Option<Kind>) -> Result<PeerMessage, DecodeError> {
+    proto::PeerMessage { kind }.try_into()
+}
+
+quickcheck! {
+    fn codec_round_trips(message: AnyMessage) -> bool {
+        let encoded = proto::PeerMessage::from(message.0.clone()).encode_to_vec();
+        let decoded = proto::PeerMessage::decode(Bytes::from(encoded)).unwrap();
+        PeerMessage::try_from(decoded) == Ok(message.0)
+    }
+
+    fn envelope_round_trips(message: AnyMessage) -> bool {
+        let sealer = EnvelopeSealer::new(KEY);
+        let envelope = envelope(message.0);
+        sealer.open(sealer.seal(&envelope).unwrap()) == Ok(envelope)
+    }
+}
+
+#[test]
+fn faults_name_field() {
+    use proto::task_end::End;
+    let batch = proto::TaskBatch::default();
+    let forward = proto::ForwardRequest::default();
+    let end = |end| {
+        Some(Kind::BatchAnswer(proto::BatchAnswer {
+            batch: 1,
+            ends: vec![proto::TaskEnd {
+                task: Some(proto::TaskId::default()),
+                end,
+            }],
+            digest: digest(),
+        }))
+    };
+    let not_run = proto::request_answer::Answer::NotRun(proto::NotRun {
+        reason: 0,
+        retry_after_us: None,
+    });
+    let cases = [
+        (None, "kind"),
+        (Some(Kind::ForwardRequest(forward)), "address"),
+        (Some(Kind::RequestAnswer(Default::default())), "answer"),
+        (Some(Kind::TaskBatch(batch)), "batch.needs"),
+        (Some(Kind::BatchAnswer(Default::default())), "digest"),
+        (Some(Kind::BatchRefused(Default::default())), "digest"),
+        (end(None), "ends.end"),
+        (end(Some(End::NotStarted(0))), "ends.not_started"),
+        (end(Some(End::Unknown(99))), "ends.unknown"),
+        (
+            end(Some(End::TaskFailedStatus(70_000))),
+            "ends.task_failed_status",
+        ),
+        (
+            Some(Kind::RequestAnswer(proto::RequestAnswer {
+                correlation: 1,
+                answer: Some(not_run),
+            })),
+            "not_run.reason",
+        ),
+    ];
+    for (kind, field) in cases {
+        let error = decode(kind).unwrap_err().to_string();
+        assert!(
+            error.ends_with(&format!("field {field}")),
+            "{error}: {field}"
+        );
+    }
+}
+
+#[test]
+fn lists_are_bounded() {
+    let cancel = |batches| {
+        decode(Some(Kind::CancelBatches(proto::CancelBatches {
+            batches: vec![1; batches],
+        })))
+    };
+    assert!(cancel(MAX_BATCHES_PER_CANCEL).is_ok());
+    assert!(matches!(
+        cancel(MAX_BATCHES_PER_CANCEL + 1),
+        Err(DecodeError::TooMany {
+            field: "batches",
+            ..
+        })
+    ));
+    let results = |results| {
+        decode(Some(Kind::RequestAnswer(proto::RequestAnswer {
+            correlation: 1,
+            answer: Some(proto::request_answer::Answer::Complete(proto::Complete {
+                results: vec![Bytes::new(); results],
+            })),
+        })))
+    };
+    assert!(results(MAX_TASKS).is_ok());
+    assert!(results(MAX_TASKS + 1).is_err());
+    let long_name = decode(Some(Kind::TaskBatch(proto::TaskBatch {
+        service: "x".repeat(MAX_NAME_BYTES + 1),
+        ..Default::default()
+    })));
+    assert!(matches!(
+        long_name,
+        Err(DecodeError::TooLong {
+            field: "batch.service",
+            ..
+        })
+    ));
+}
+
+#[test]
+fn sizes_are_bounded() {
+    let sealer = EnvelopeSealer::new(KEY);
+    let body = |bytes| {
+        envelope(PeerMessage::DocumentBody {
+            revision: 1,
+            text: Bytes::from(vec![b' '; bytes]),
+        })
+    };
+    let largest = sealer.seal(&body(MAX_ENVELOPE_BYTES - 100)).unwrap();
+    assert!(sealer.open(largest).is_ok());
+    assert!(matches!(
+        sealer.seal(&body(MAX_ENVELOPE_BYTES)),
+        Err(SealError::TooLarge { .. })
+    ));
+    let oversized = Bytes::from(vec![0; MAX_ENVELOPE_BYTES + 1]);
+    assert!(matches!(
+        sealer.open(oversized),
+        Err(OpenError::TooLarge { .. })
+    ));
+}
+
+#[test]
+fn other_key_refused() {
+    let message = PeerMessage::HomeGone { correlation: 1 };
+    let sealed = EnvelopeSealer::new(b"another firm's key of 32 bytes..").seal(&envelope(message));
+    let opened = EnvelopeSealer::new(KEY).open(sealed.unwrap());
+    assert_eq!(opened, Err(OpenError::NotAuthentic));
+}
+
+#[test]
+fn mutated_envelopes_refused() {
+    let sealer = EnvelopeSealer::new(KEY);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut g = Gen::from_size_and_seed(20, SEED);
+    for round in 0..NOISE_ROUNDS / 10 {
+        let message = message_of_kind(&mut g, round % KINDS);
+        let mut bytes = sealer.seal(&envelope(message)).unwrap().to_vec();
+        let at = rng.random_range(0..bytes.len());
+        bytes[at] ^= 1 << rng.random_range(0..8);
+        if rng.random_bool(0.2) {
+            bytes.truncate(at);
+        }
+        let opened = sealer.open(Bytes::from(bytes));
+        assert_eq!(opened, Err(OpenError::NotAuthentic));
+    }
+}
+
+#[test]
+fn noise_decodes_or_fails() {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut g = Gen::from_size_and_seed(20, SEED);
+    for round in 0..NOISE_ROUNDS {
+        let message = message_of_kind(&mut g, round % KINDS);
+        let mut bytes = proto::PeerMessage::from(message).encode_to_vec();
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(0..=bytes.len());
+            match rng.random_range(0..3) {
+                0 if at < bytes.len() => bytes[at] = rng.random(),
+                1 => bytes.truncate(at),
+                _ => bytes.insert(at, rng.random()),
+            }
+        }
+        decode_noise(bytes);
+        let mut noise = vec![0; rng.random_range(0..64)];
+        rng.fill(&mut noise[..]);
+        decode_noise(noise);
+    }
+}
+
+/// Decodes bytes of any kind; what is taken encodes again to no more than it came from.
+fn decode_noise(bytes: Vec<u8>) {
+    let length = bytes.len();
+    let Ok(decoded) = proto::PeerMessage::decode(Bytes::from(bytes)) else {
+        return;
+    };
+    let Ok(message) = PeerMessage::try_from(decoded) else {
+        return;
+    };
+    let again = proto::PeerMessage::from(message.clone());
+    assert!(again.encoded_len() <= length + 64);
+    assert_eq!(PeerMessage::try_from(again), Ok(message));
+}
