--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,7 +44,12 @@
 pub mod overflow_batched;
 pub mod overflow_eager;
 pub mod ownership;
+pub mod peer_codec;
+pub mod peer_envelope;
 pub mod peer_message;
+#[allow(clippy::all, missing_docs, unreachable_pub)]
+#[rustfmt::skip]
+pub mod peer_proto;
 mod pending_claim;
 mod plan;
 pub mod policies;
