entry: answer callers over http through the dispatcher and real upstreams

The thin whole path: settings, listeners, the driver that owns the dispatcher, attempts over the counting http client, claims, the instance list, spans, metrics and a graceful stop.

--- /dev/null
+++ b/entry/src/driver.rs
@@ -0,0 +1,175 @@
+//! The one task that owns the dispatcher: events in, actions out.
+
+use std::sync::Arc;
+
+use almondhead_lib::action::Action;
+use almondhead_lib::dispatcher::Dispatcher;
+use almondhead_lib::dispatcher::DispatcherStatus;
+use almondhead_lib::event::Event;
+use almondhead_lib::id::RequestId;
+use almondhead_lib::id::SessionId;
+use almondhead_lib::outcome::JobAnswer;
+use almondhead_lib::outcome::NotRunReason;
+use async_channel::Receiver;
+use async_channel::Sender;
+use futures_lite::future::or;
+use indexmap::IndexMap;
+
+use crate::clock::Clock;
+use crate::effects::Effects;
+use crate::timer::TimerService;
+
+/// What the driver is asked to do.
+pub(crate) enum Command {
+    /// Hand an event to the dispatcher.
+    Event(Event),
+    /// Hand a caller's request to the dispatcher and answer it on `reply`.
+    Request {
+        /// The request.
+        request: RequestId,
+        /// The event that names the request.
+        event: Event,
+        /// Where its answer goes.
+        reply: Sender<Arc<JobAnswer>>,
+    },
+    /// Open a session.
+    OpenSession(Sender<Result<SessionId, NotRunReason>>),
+    /// Read the dispatcher's status.
+    Status(Sender<DriverStatus>),
+}
+
+/// A reading of the dispatcher's state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DriverStatus {
+    /// The dispatcher's own reading.
+    pub(crate) dispatcher: DispatcherStatus,
+    /// Whether nothing is open: no request, no attempt, no batch.
+    pub(crate) is_idle: bool,
+}
+
+enum Wakeup {
+    Command(Command),
+    Timer,
+    Closed,
+}
+
+/// Owns the dispatcher and the requests that wait for their answers.
+pub(crate) struct Driver {
+    dispatcher: Dispatcher,
+    clock: Clock,
+    timer: TimerService,
+    commands: Receiver<Command>,
+    effects: Effects,
+    replies: IndexMap<RequestId, Sender<Arc<JobAnswer>>>,
+    actions: Vec<Action>,
+}
+
+impl Driver {
+    pub(crate) fn new(
+        dispatcher: Dispatcher,
+        clock: Clock,
+        commands: Receiver<Command>,
+        effects: Effects,
+    ) -> Self {
+        Driver {
+            dispatcher,
+            clock,
+            timer: TimerService::new(clock),
+            commands,
+            effects,
+            replies: IndexMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Runs until every sender of commands is gone.
+    pub(crate) async fn run(mut self) {
+        loop {
+            match self.next_wakeup().await {
+                Wakeup::Command(command) => self.take(command),
+                Wakeup::Timer => self.handle(Event::Tick),
+                Wakeup::Closed => return,
+            }
+        }
+    }
+
+    /// Waits for a command or the dispatcher's timer; a timer that is due goes first.
+    async fn next_wakeup(&mut self) -> Wakeup {
+        let due = self.dispatcher.next_wakeup();
+        if due.is_some_and(|due| due <= self.clock.now()) {
+            return Wakeup::Timer;
+        }
+        let commands = &self.commands;
+        let timer = &self.timer;
+        let command = async {
+            match commands.recv().await {
+                Ok(command) => Wakeup::Command(command),
+                Err(_) => Wakeup::Closed,
+            }
+        };
+        let timer = async {
+            timer.at(due).await;
+            Wakeup::Timer
+        };
+        or(command, timer).await
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Event(event) => {
+                if let Event::RequestDropped { request } = &event {
+                    self.replies.swap_remove(request);
+                }
+                self.handle(event);
+            }
+            Command::Request {
+                request,
+                event,
+                reply,
+            } => {
+                self.replies.insert(request, reply);
+                self.handle(event);
+            }
+            Command::OpenSession(reply) => {
+                let opened = self.dispatcher.open_session(self.clock.now());
+                reply.try_send(opened).ok();
+            }
+            Command::Status(reply) => {
+                let status = self.status();
+                reply.try_send(status).ok();
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.dispatcher
+            .handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.execute(action);
+        }
+        self.actions = actions;
+    }
+
+    fn execute(&mut self, action: Action) {
+        match action {
+            Action::Answer { request, answer } => {
+                if let Some(reply) = self.replies.swap_remove(&request) {
+                    reply.try_send(answer).ok();
+                }
+            }
+            Action::StartAttempt(attempt) => self.effects.start(attempt),
+            Action::StopTasks { target, tasks } => self.effects.stop(target, tasks),
+            Action::Claim { claim, team, key } => self.effects.claim(claim, team, key),
+            Action::FindHome { claim, team, key } => self.effects.find_home(claim, &team, &key),
+            Action::SendPeer { instance, message } => self.effects.send_peer(&instance, message),
+        }
+    }
+
+    fn status(&self) -> DriverStatus {
+        DriverStatus {
+            dispatcher: self.dispatcher.status(),
+            is_idle: self.dispatcher.is_idle() && self.replies.is_empty(),
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/effects.rs
@@ -0,0 +1,81 @@
+//! What the driver's actions do to the world.
+
+use std::sync::Arc;
+
+use almondhead_lib::action::Attempt;
+use almondhead_lib::event::ClaimEnd;
+use almondhead_lib::event::Event;
+use almondhead_lib::id::TaskId;
+use almondhead_lib::peer_message::PeerMessage;
+use almondhead_lib::target::UpstreamTarget;
+use almondhead_net::Platform;
+
+use crate::claim_queue::ClaimKey;
+use crate::claim_queue::ClaimQueue;
+use crate::claim_queue::ClaimRequest;
+use crate::claim_queue::find_home;
+use crate::driver_handle::DriverHandle;
+use crate::executor;
+use crate::metrics::Metrics;
+use crate::outbound::Outbound;
+use crate::upstream_client::UpstreamClient;
+
+/// Carries out the dispatcher's actions without ever making the driver wait.
+pub(crate) struct Effects {
+    pub(crate) driver: DriverHandle,
+    pub(crate) upstreams: Arc<UpstreamClient>,
+    pub(crate) claims: ClaimQueue,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) peers: Arc<dyn Outbound>,
+    pub(crate) metrics: Metrics,
+}
+
+impl Effects {
+    /// Starts an attempt; its end comes back as an event.
+    pub(crate) fn start(&self, attempt: Attempt) {
+        let upstreams = Arc::clone(&self.upstreams);
+        let driver = self.driver.clone();
+        let metrics = self.metrics.clone();
+        executor::spawn(async move {
+            let end = upstreams.run(&attempt).await;
+            metrics.count_attempt(&end);
+            let attempt = attempt.attempt;
+            driver.send(Event::AttemptEnded { attempt, end }).await;
+        });
+    }
+
+    /// Asks an upstream to stop tasks; nothing comes back.
+    pub(crate) fn stop(&self, target: Arc<UpstreamTarget>, tasks: Vec<TaskId>) {
+        let upstreams = Arc::clone(&self.upstreams);
+        executor::spawn(async move { upstreams.stop(&target, &tasks).await });
+    }
+
+    /// Queues a claim; its end comes back as an event, at once when the queue is full.
+    pub(crate) fn claim(&self, claim: u64, team: Arc<str>, key: Arc<str>) {
+        let key = ClaimKey::new(&team, &key);
+        if self.claims.push(ClaimRequest { claim, key }) {
+            return;
+        }
+        let driver = self.driver.clone();
+        executor::spawn(async move {
+            let end = ClaimEnd::Unavailable;
+            driver.send(Event::ClaimEnded { claim, end }).await;
+        });
+    }
+
+    /// Reads who claimed a key; what is found comes back as the end of `claim`.
+    pub(crate) fn find_home(&self, claim: u64, team: &str, key: &str) {
+        let key = ClaimKey::new(team, key);
+        let platform = Arc::clone(&self.platform);
+        let driver = self.driver.clone();
+        executor::spawn(async move {
+            let end = find_home(platform.as_ref(), &key).await;
+            driver.send(Event::ClaimEnded { claim, end }).await;
+        });
+    }
+
+    /// Sends a message to another entry instance, or drops it.
+    pub(crate) fn send_peer(&self, instance: &str, message: PeerMessage) {
+        self.peers.send(instance, message);
+    }
+}
--- /dev/null
+++ b/entry/src/instance_watch.rs
@@ -0,0 +1,180 @@
+//! Follows the platform's list of instances and keeps this one on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondhead_lib::event::Event;
+use almondhead_lib::id::Incarnation;
+use almondhead_lib::membership::Membership;
+use almondhead_lib::membership::Sibling;
+use almondhead_net::InstanceList;
+use almondhead_net::InstanceRole;
+use almondhead_net::InstanceState;
+use almondhead_net::ListedInstance;
+use almondhead_net::Platform;
+use indexmap::IndexMap;
+
+use crate::driver_handle::DriverHandle;
+use crate::outbound::Outbound;
+use crate::stopping::Stopping;
+use crate::timer::TimerService;
+
+/// Lists in a row that must lack an instance before its incarnation counts as ended.
+const ABSENT_LISTS: u32 = 3;
+
+const MAX_ENDED: usize = 1_000;
+
+/// Looks at the list again and again and tells the dispatcher of changes.
+pub(crate) struct InstanceWatch {
+    pub(crate) own: ListedInstance,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) driver: DriverHandle,
+    pub(crate) outbound: Arc<dyn Outbound>,
+    pub(crate) stopping: Stopping,
+    pub(crate) seen: Seen,
+}
+
+/// What the lists so far have shown.
+#[derive(Default)]
+pub(crate) struct Seen {
+    reported: Membership,
+    last: IndexMap<Arc<str>, LastSeen>,
+    ended: Vec<Incarnation>,
+}
+
+struct LastSeen {
+    incarnation: Incarnation,
+    absent_lists: u32,
+}
+
+impl InstanceWatch {
+    /// Runs until the process ends.
+    pub(crate) async fn run(mut self, timer: TimerService, period: Duration) {
+        let mut ticks = timer.every(period);
+        let mut is_reachable = true;
+        loop {
+            ticks.next().await;
+            match self.platform.list_instances().await {
+                Ok(list) => {
+                    self.take(&list).await;
+                    is_reachable = true;
+                }
+                Err(error) => {
+                    if is_reachable {
+                        tracing::warn!(%error, "instance list not read");
+                    }
+                    is_reachable = false;
+                }
+            }
+        }
+    }
+
+    async fn take(&mut self, list: &InstanceList) {
+        self.announce(list).await;
+        let membership = self.seen.membership(list, &self.own.name);
+        if membership == self.seen.reported {
+            return;
+        }
+        tracing::info!(
+            siblings = membership.siblings.len(),
+            ended = membership.ended.len(),
+            leaving_upstreams = membership.leaving_upstreams.len(),
+            "membership changed"
+        );
+        self.seen.reported = membership.clone();
+        self.outbound.update(&membership);
+        self.driver.send(Event::MembershipChanged(membership)).await;
+    }
+
+    /// Puts this instance on the list where it is not, or not as it is now.
+    async fn announce(&mut self, list: &InstanceList) {
+        if self.stopping.is_set() {
+            self.own.state = InstanceState::Leaving;
+        }
+        if list.instances.contains(&self.own) {
+            return;
+        }
+        if let Err(error) = self.platform.announce(self.own.clone()).await {
+            tracing::warn!(%error, "instance not announced");
+        }
+    }
+}
+
+impl Seen {
+    fn membership(&mut self, list: &InstanceList, own_name: &str) -> Membership {
+        let siblings: Vec<Sibling> = list
+            .instances
+            .iter()
+            .filter(|listed| listed.name != own_name)
+            .filter_map(sibling)
+            .collect();
+        self.note_ended(&siblings);
+        Membership {
+            siblings,
+            ended: self.ended.clone(),
+            leaving_upstreams: leaving_upstreams(list),
+        }
+    }
+
+    fn note_ended(&mut self, siblings: &[Sibling]) {
+        let mut ended = Vec::new();
+        for (name, last) in &mut self.last {
+            match siblings.iter().find(|sibling| sibling.name == *name) {
+                Some(sibling) => {
+                    last.absent_lists = 0;
+                    let replaced = sibling.incarnation.filter(|now| *now != last.incarnation);
+                    if let Some(incarnation) = replaced {
+                        ended.push(last.incarnation);
+                        last.incarnation = incarnation;
+                    }
+                }
+                None => {
+                    last.absent_lists += 1;
+                    if last.absent_lists == ABSENT_LISTS {
+                        ended.push(last.incarnation);
+                    }
+                }
+            }
+        }
+        self.last.retain(|_, last| last.absent_lists < ABSENT_LISTS);
+        for sibling in siblings {
+            if let Some(incarnation) = sibling.incarnation {
+                self.last
+                    .entry(Arc::clone(&sibling.name))
+                    .or_insert(LastSeen {
+                        incarnation,
+                        absent_lists: 0,
+                    });
+                ended.retain(|ended| *ended != incarnation);
+                self.ended.retain(|ended| *ended != incarnation);
+            }
+        }
+        self.ended.extend(ended);
+        let excess = self.ended.len().saturating_sub(MAX_ENDED);
+        self.ended.drain(..excess);
+    }
+}
+
+fn sibling(listed: &ListedInstance) -> Option<Sibling> {
+    if listed.role != InstanceRole::Entry {
+        return None;
+    }
+    let incarnation = listed.incarnation.as_deref();
+    let incarnation = incarnation.and_then(|text| u64::from_str_radix(text, 16).ok());
+    Some(Sibling {
+        name: Arc::from(listed.name.as_str()),
+        data_centre: Arc::from(listed.data_centre.as_str()),
+        peer_address: listed.peer_address?,
+        incarnation: incarnation.map(Incarnation),
+        leaving: listed.state == InstanceState::Leaving,
+    })
+}
+
+fn leaving_upstreams(list: &InstanceList) -> Vec<Arc<str>> {
+    list.instances
+        .iter()
+        .filter(|listed| listed.role == InstanceRole::Upstream)
+        .filter(|listed| listed.state == InstanceState::Leaving)
+        .map(|listed| Arc::from(listed.name.as_str()))
+        .collect()
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -1,1 +1,57 @@
-//! Placeholder.
+//! One almondhead entry instance: sockets, timers and clients round the dispatcher.
+
+mod answer;
+mod caller_api;
+mod caller_context;
+mod claim_queue;
+mod clock;
+mod document_watch;
+mod driver;
+mod driver_handle;
+mod effects;
+mod executor;
+mod instance_watch;
+mod job_address;
+mod job_handlers;
+mod listener;
+mod logging;
+mod metrics;
+mod operator_api;
+mod outbound;
+mod problem;
+mod process;
+mod reply;
+mod request_body;
+mod request_fields;
+mod secret;
+mod session_handler;
+mod settings;
+mod settings_reader;
+mod shutdown;
+mod span_export;
+mod spans;
+mod stopping;
+mod submission_body;
+mod timer;
+mod upstream_client;
+mod wall_clock;
+
+pub use crate::claim_queue::CLAIMS_TABLE;
+pub use crate::document_watch::DocumentFileError;
+pub use crate::listener::ListenError;
+pub use crate::problem::FieldError;
+pub use crate::problem::Problem;
+pub use crate::problem::ProblemOutcome;
+pub use crate::process::ProcessError;
+pub use crate::process::run;
+pub use crate::secret::Secret;
+pub use crate::settings::Limits;
+pub use crate::settings::PlatformSettings;
+pub use crate::settings::Settings;
+pub use crate::settings::SettingsError;
+pub use crate::settings::TraceOutput;
+pub use crate::settings_reader::SettingsProblem;
+pub use crate::span_export::SpanExportError;
+pub use crate::upstream_client::TASK_ID;
+pub use crate::upstream_client::TASK_NOT_RUN;
+pub use crate::upstream_client::TASK_TIMEOUT_MS;
--- /dev/null
+++ b/entry/src/request_body.rs
@@ -0,0 +1,41 @@
+//! Reads request bodies within their limits.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::future::or;
+use smol::Timer;
+use trillium::Conn;
+use trillium_http::Error;
+
+use crate::problem::Refusal;
+use crate::settings::Limits;
+
+/// The whole body of a request.
+///
+/// # Errors
+///
+/// A refusal when the body is too long, too slow or cut.
+pub(crate) async fn read_body(conn: &mut Conn, limits: &Limits) -> Result<Bytes, Refusal> {
+    let limit_bytes = limits.body_bytes;
+    let body = conn.request_body().with_max_len(limit_bytes);
+    if body
+        .content_length()
+        .is_some_and(|length| length > limit_bytes)
+    {
+        return Err(Refusal::BodyTooLong { limit_bytes });
+    }
+    let read = async {
+        match body.read_bytes().await {
+            Ok(body) => Ok(Bytes::from(body)),
+            Err(Error::ReceivedBodyTooLong(_)) => Err(Refusal::BodyTooLong { limit_bytes }),
+            Err(_) => Err(Refusal::BodyCut),
+        }
+    };
+    let limit_ms = limits.body_ms;
+    or(read, async {
+        Timer::after(Duration::from_millis(limit_ms)).await;
+        Err(Refusal::BodyTimeout { limit_ms })
+    })
+    .await
+}
--- /dev/null
+++ b/entry/src/upstream_client.rs
@@ -0,0 +1,217 @@
+//! Attempts at upstreams over HTTP, and what their ends prove.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use almondhead_lib::action::Attempt;
+use almondhead_lib::id::TaskId;
+use almondhead_lib::outcome::AttemptEnd;
+use almondhead_lib::outcome::NotStartedCause;
+use almondhead_lib::outcome::UnknownCause;
+use almondhead_lib::target::UpstreamTarget;
+use almondhead_macros::key;
+use almondhead_net::ExchangeError;
+use almondhead_net::Failure;
+use almondhead_net::HttpClient;
+use almondhead_net::HttpRequest;
+use almondhead_net::HttpResponse;
+use almondhead_net::HttpSettings;
+use almondhead_net::Method;
+use almondhead_net::Protocol;
+use almondhead_net::Sent;
+use almondhead_net::header::CONTENT_TYPE;
+use almondhead_net::header::HeaderName;
+use almondhead_net::header::HeaderValue;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::clock::Clock;
+use crate::spans::Hop;
+use crate::spans::Spans;
+
+/// The header that names the task, in requests and in answers.
+pub const TASK_ID: &str = "task-id";
+
+/// The header by which a guard proves that the named task did not run.
+pub const TASK_NOT_RUN: &str = "task-not-run";
+
+/// The header that tells how long the caller of a task still waits, in milliseconds.
+pub const TASK_TIMEOUT_MS: &str = "task-timeout-ms";
+
+const TRACEPARENT: &str = "traceparent";
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Runs attempts, over connections that are kept per upstream.
+pub(crate) struct UpstreamClient {
+    clock: Clock,
+    spans: Spans,
+    clients: Mutex<IndexMap<ClientKind, Arc<HttpClient>>>,
+}
+
+/// The body of a stop message.
+#[derive(Serialize)]
+struct StopRequest {
+    task_ids: Vec<String>,
+}
+
+/// What tells the HTTP clients of upstreams apart.
+#[key]
+struct ClientKind {
+    http2: bool,
+    connections: u32,
+}
+
+impl UpstreamClient {
+    pub(crate) fn new(clock: Clock, spans: Spans) -> Self {
+        UpstreamClient {
+            clock,
+            spans,
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Runs one attempt to its end, unless the point before which it must start has passed.
+    pub(crate) async fn run(&self, attempt: &Attempt) -> AttemptEnd {
+        let mut span = self
+            .spans
+            .start(Hop::Attempt, attempt.traceparent.as_deref());
+        span.set("upstream", &attempt.target.name);
+        span.set("task", &attempt.task.to_string());
+        let request = attempt_request(attempt, span.traceparent().as_deref());
+        let client = self.client(&attempt.target);
+        let now = self.clock.now();
+        if now >= attempt.start_before {
+            return AttemptEnd::NotStarted(NotStartedCause::PastDeadline);
+        }
+        let timeout = attempt.give_up_at.since(now);
+        let request = with_timeout(request, timeout);
+        let end = match client.send(request, timeout).await {
+            Ok(response) => response_end(&response, &attempt.task.to_string()),
+            Err(error) => error_end(&error),
+        };
+        span.set("end", end_name(&end));
+        end
+    }
+
+    /// Asks an upstream to stop tasks; whether it does shows in the ends of their attempts.
+    pub(crate) async fn stop(&self, target: &UpstreamTarget, tasks: &[TaskId]) {
+        let stop = StopRequest {
+            task_ids: tasks.iter().map(ToString::to_string).collect(),
+        };
+        let body = serde_json::to_vec(&stop).expect("task ids are plain text");
+        let path = stop_path(&target.path);
+        let mut request = HttpRequest::new(Method::POST, target.address, path).with_body(body);
+        request
+            .headers
+            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let sent = self.client(target).send(request, STOP_TIMEOUT).await;
+        if let Err(error) = sent {
+            tracing::debug!(upstream = %target.name, %error, "stop message lost");
+        }
+    }
+
+    fn client(&self, target: &UpstreamTarget) -> Arc<HttpClient> {
+        let kind = ClientKind {
+            http2: target.http2,
+            connections: target.connections.max(1),
+        };
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let client = clients
+            .entry(kind)
+            .or_insert_with(|| Arc::new(HttpClient::new(kind.http_settings())));
+        Arc::clone(client)
+    }
+}
+
+impl ClientKind {
+    fn http_settings(self) -> HttpSettings {
+        HttpSettings {
+            protocol: match self.http2 {
+                true => Protocol::Http2,
+                false => Protocol::Http1,
+            },
+            connections: self.connections as usize,
+            ..HttpSettings::default()
+        }
+    }
+}
+
+/// The path beside the one that runs a task, which stops tasks.
+fn stop_path(run_path: &str) -> String {
+    let parent = run_path.rsplit_once('/').map_or("", |(parent, _)| parent);
+    format!("{parent}/stop")
+}
+
+fn attempt_request(attempt: &Attempt, traceparent: Option<&str>) -> HttpRequest {
+    let target = &attempt.target;
+    let mut request = HttpRequest::new(Method::POST, target.address, target.path.as_ref())
+        .with_body(attempt.input.clone());
+    let headers = &mut request.headers;
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let task_id = HeaderValue::try_from(attempt.task.to_string());
+    headers.insert(
+        HeaderName::from_static(TASK_ID),
+        task_id.expect("task ids are plain text"),
+    );
+    if let Some(Ok(traceparent)) = traceparent.map(HeaderValue::try_from) {
+        headers.insert(HeaderName::from_static(TRACEPARENT), traceparent);
+    }
+    request
+}
+
+fn with_timeout(mut request: HttpRequest, timeout: Duration) -> HttpRequest {
+    let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+    request.headers.insert(
+        HeaderName::from_static(TASK_TIMEOUT_MS),
+        HeaderValue::from(timeout_ms),
+    );
+    request
+}
+
+/// What a whole response proves of the task `task_id`.
+fn response_end(response: &HttpResponse, task_id: &str) -> AttemptEnd {
+    let is_success = response.status.is_success();
+    if response.header(TASK_NOT_RUN) == Some(task_id) && !is_success {
+        return AttemptEnd::NotStarted(NotStartedCause::Refused);
+    }
+    if response.header(TASK_NOT_RUN).is_some() || response.header(TASK_ID) != Some(task_id) {
+        return AttemptEnd::Unknown(UnknownCause::Mismatch);
+    }
+    if is_success {
+        return AttemptEnd::Finished {
+            body: response.body.clone(),
+        };
+    }
+    AttemptEnd::TaskFailed {
+        status: response.status.as_u16(),
+    }
+}
+
+/// What an exchange without a whole response proves.
+fn error_end(error: &ExchangeError) -> AttemptEnd {
+    if error.sent == Sent::Nothing {
+        return AttemptEnd::NotStarted(NotStartedCause::NotSent);
+    }
+    AttemptEnd::Unknown(match error.failure {
+        Failure::Timeout { .. } => UnknownCause::Timeout,
+        Failure::BodyTooLong { .. } | Failure::BodyWithoutEnd => UnknownCause::Mismatch,
+        _ => UnknownCause::ConnectionLost,
+    })
+}
+
+/// The name of an attempt's end in metrics and spans.
+pub(crate) fn end_name(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::NotStarted(NotStartedCause::NotSent) => "not_sent",
+        AttemptEnd::NotStarted(NotStartedCause::Refused) => "refused",
+        AttemptEnd::NotStarted(NotStartedCause::PastDeadline) => "past_deadline",
+        AttemptEnd::Finished { .. } => "finished",
+        AttemptEnd::TaskFailed { .. } => "task_failed",
+        AttemptEnd::Unknown(UnknownCause::ConnectionLost) => "connection_lost",
+        AttemptEnd::Unknown(UnknownCause::Timeout) => "timeout",
+        AttemptEnd::Unknown(UnknownCause::Mismatch) => "mismatch",
+        AttemptEnd::Unknown(UnknownCause::SiblingLost) => "sibling_lost",
+    }
+}
