--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Clock;
 use crate::effects::Effects;
+use crate::hop_tracker::HopTracker;
 use crate::timer::TimerService;
 
 /// What the driver is asked to do.
@@ -60,6 +61,7 @@
     timer: TimerService,
     commands: Receiver<Command>,
     effects: Effects,
+    hops: HopTracker,
     replies: IndexMap<RequestId, Sender<Arc<JobAnswer>>>,
     actions: Vec<Action>,
 }
@@ -70,6 +72,7 @@
         clock: Clock,
         commands: Receiver<Command>,
         effects: Effects,
+        hops: HopTracker,
     ) -> Self {
         Driver {
             dispatcher,
@@ -77,6 +80,7 @@
             timer: TimerService::new(clock),
             commands,
             effects,
+            hops,
             replies: IndexMap::new(),
             actions: Vec::new(),
         }
@@ -141,7 +145,8 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
+    fn handle(&mut self, mut event: Event) {
+        self.hops.before_event(&mut event);
         let mut actions = std::mem::take(&mut self.actions);
         self.dispatcher
             .handle(self.clock.now(), event, &mut actions);
@@ -154,6 +159,7 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::Answer { request, answer } => {
+                self.hops.before_answer(request);
                 if let Some(reply) = self.replies.swap_remove(&request) {
                     reply.try_send(answer).ok();
                 }
@@ -162,7 +168,13 @@
             Action::StopTasks { target, tasks } => self.effects.stop(target, tasks),
             Action::Claim { claim, team, key } => self.effects.claim(claim, team, key),
             Action::FindHome { claim, team, key } => self.effects.find_home(claim, &team, &key),
-            Action::SendPeer { instance, message } => self.effects.send_peer(&instance, message),
+            Action::SendPeer {
+                instance,
+                mut message,
+            } => {
+                self.hops.before_send(&instance, &mut message);
+                self.effects.send_peer(&instance, message);
+            }
         }
     }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -32,10 +32,12 @@
 use crate::clock::Clock;
 use crate::document_watch::DocumentFileError;
 use crate::document_watch::install_file;
+use crate::driver::Command;
 use crate::driver::Driver;
 use crate::driver_handle::DriverHandle;
 use crate::effects::Effects;
 use crate::executor;
+use crate::hop_tracker::HopTracker;
 use crate::instance_watch::InstanceWatch;
 use crate::instance_watch::Seen;
 use crate::listener;
@@ -106,79 +108,35 @@
     operators: ServerHandle,
 }
 
+/// What most parts of the process share.
+#[derive(Clone)]
+struct Shared {
+    identity: PeerIdentity,
+    clock: Clock,
+    spans: Spans,
+    metrics: Metrics,
+    stopping: Stopping,
+    driver: DriverHandle,
+    platform: Arc<dyn Platform>,
+    outbound: Arc<dyn Outbound>,
+}
+
 impl Process {
     async fn start(settings: Settings) -> Result<Self, ProcessError> {
-        let clock = Clock::start();
-        let timer = TimerService::new(clock);
-        let spans = Spans::new(&settings)?;
-        let metrics = Metrics::new()?;
-        let stopping = Stopping::default();
-        let identity = PeerIdentity {
-            instance: Arc::from(settings.instance.as_str()),
-            incarnation: Incarnation(rand::random()),
-        };
         let caller_listener = listener::bind("callers", settings.caller_address)?;
         let operator_listener = listener::bind("operators", settings.operator_address)?;
-        let platform = platform_client(&settings);
         let (driver, commands) = DriverHandle::new(settings.limits.waiting_events);
-        let (claims, claim_writer) = ClaimWriter::new(
-            identity.clone(),
-            Arc::clone(&platform),
-            driver.clone(),
-            metrics.clone(),
-            clock,
-            &settings.platform,
-        );
-        let outbound: Arc<dyn Outbound> = Arc::new(NoPeers);
-        let effects = Effects {
-            driver: driver.clone(),
-            upstreams: Arc::new(UpstreamClient::new(clock, spans.clone())),
-            claims,
-            platform: Arc::clone(&platform),
-            peers: Arc::clone(&outbound),
-            metrics: metrics.clone(),
-        };
-        let dispatcher = Dispatcher::new(dispatcher_config(&settings, &identity));
-        executor::spawn(Driver::new(dispatcher, clock, commands, effects).run());
-        executor::spawn(claim_writer.run());
-        executor::spawn(wall_clock::report(timer, driver.clone()));
-        if let Some(file) = &settings.document_file {
-            install_file(file, &driver).await?;
-        }
-        let instance_watch = InstanceWatch {
-            own: listed(&settings, &identity),
-            platform,
-            driver: driver.clone(),
-            outbound,
-            stopping: stopping.clone(),
-            seen: Seen::default(),
-        };
-        let period = Duration::from_millis(settings.platform.instances_poll_ms);
-        executor::spawn(instance_watch.run(timer, period));
-        let operator_context = Arc::new(OperatorContext {
-            identity: identity.clone(),
-            data_centre: settings.data_centre.clone(),
-            driver: driver.clone(),
-            metrics: metrics.clone(),
-            clock,
-            stopping: stopping.clone(),
-        });
-        let caller_context = Arc::new(CallerContext {
-            identity: identity.clone(),
-            tokens: SessionTokens::new(settings.peer_key.expose()),
-            driver: driver.clone(),
-            metrics,
-            spans: spans.clone(),
-            limits: settings.limits.clone(),
-            stopping: stopping.clone(),
-            next_request_id: AtomicU64::new(1),
-        });
+        let shared = Shared::new(&settings, driver)?;
+        start_driver(&settings, &shared, commands);
+        start_watches(&settings, &shared).await?;
         let limits = &settings.limits;
-        let operators = listener::serve(operator_listener, limits, operator_api(&operator_context));
-        let callers = listener::serve(caller_listener, limits, caller_api(&caller_context));
+        let operators = operator_api(&operator_context(&settings, &shared));
+        let operators = listener::serve(operator_listener, limits, operators);
+        let callers = caller_api(&caller_context(&settings, &shared));
+        let callers = listener::serve(caller_listener, limits, callers);
         tracing::info!(
             instance = %settings.instance,
-            incarnation = %identity.incarnation,
+            incarnation = %shared.identity.incarnation,
             callers = %settings.caller_address,
             operators = %settings.operator_address,
             peers = %settings.peer_address,
@@ -186,9 +144,9 @@
         );
         Ok(Process {
             settings,
-            driver,
-            spans,
-            stopping,
+            driver: shared.driver,
+            spans: shared.spans,
+            stopping: shared.stopping,
             callers,
             operators,
         })
@@ -221,6 +179,92 @@
     }
 }
 
+impl Shared {
+    fn new(settings: &Settings, driver: DriverHandle) -> Result<Self, ProcessError> {
+        let identity = PeerIdentity {
+            instance: Arc::from(settings.instance.as_str()),
+            incarnation: Incarnation(rand::random()),
+        };
+        Ok(Shared {
+            identity,
+            clock: Clock::start(),
+            spans: Spans::new(settings)?,
+            metrics: Metrics::new()?,
+            stopping: Stopping::default(),
+            driver,
+            platform: platform_client(settings),
+            outbound: Arc::new(NoPeers),
+        })
+    }
+}
+
+fn start_driver(settings: &Settings, shared: &Shared, commands: Receiver<Command>) {
+    let (claims, claim_writer) = ClaimWriter::new(
+        shared.identity.clone(),
+        Arc::clone(&shared.platform),
+        shared.driver.clone(),
+        shared.metrics.clone(),
+        shared.clock,
+        &settings.platform,
+    );
+    let effects = Effects {
+        driver: shared.driver.clone(),
+        upstreams: Arc::new(UpstreamClient::new(shared.clock, shared.spans.clone())),
+        claims,
+        platform: Arc::clone(&shared.platform),
+        peers: Arc::clone(&shared.outbound),
+        metrics: shared.metrics.clone(),
+    };
+    let dispatcher = Dispatcher::new(dispatcher_config(settings, &shared.identity));
+    let hops = HopTracker::new(shared.identity.incarnation, shared.spans.clone());
+    let driver = Driver::new(dispatcher, shared.clock, commands, effects, hops);
+    executor::spawn(driver.run());
+    executor::spawn(claim_writer.run());
+}
+
+async fn start_watches(settings: &Settings, shared: &Shared) -> Result<(), ProcessError> {
+    let timer = TimerService::new(shared.clock);
+    executor::spawn(wall_clock::report(timer, shared.driver.clone()));
+    if let Some(file) = &settings.document_file {
+        install_file(file, &shared.driver).await?;
+    }
+    let instance_watch = InstanceWatch {
+        own: listed(settings, &shared.identity),
+        platform: Arc::clone(&shared.platform),
+        driver: shared.driver.clone(),
+        outbound: Arc::clone(&shared.outbound),
+        stopping: shared.stopping.clone(),
+        seen: Seen::default(),
+    };
+    let period = Duration::from_millis(settings.platform.instances_poll_ms);
+    executor::spawn(instance_watch.run(timer, period));
+    Ok(())
+}
+
+fn operator_context(settings: &Settings, shared: &Shared) -> Arc<OperatorContext> {
+    Arc::new(OperatorContext {
+        identity: shared.identity.clone(),
+        data_centre: settings.data_centre.clone(),
+        driver: shared.driver.clone(),
+        metrics: shared.metrics.clone(),
+        clock: shared.clock,
+        stopping: shared.stopping.clone(),
+    })
+}
+
+fn caller_context(settings: &Settings, shared: &Shared) -> Arc<CallerContext> {
+    Arc::new(CallerContext {
+        identity: shared.identity.clone(),
+        tokens: SessionTokens::new(settings.peer_key.expose()),
+        driver: shared.driver.clone(),
+        metrics: shared.metrics.clone(),
+        spans: shared.spans.clone(),
+        limits: settings.limits.clone(),
+        stopping: shared.stopping.clone(),
+        next_request_id: AtomicU64::new(1),
+    })
+}
+
 fn platform_client(settings: &Settings) -> Arc<dyn Platform> {
     let timeout = Duration::from_millis(settings.platform.timeout_ms);
     let client = HttpPlatform::new(settings.platform_address, HttpSettings::default(), timeout);
--- a/entry/src/spans.rs
+++ b/entry/src/spans.rs
@@ -73,6 +73,11 @@
         })
     }
 
+    /// Whether spans are written at all.
+    pub(crate) fn is_recording(&self) -> bool {
+        self.tracer.is_some()
+    }
+
     /// Starts the span of a hop below the span that `parent` names.
     pub(crate) fn start(&self, hop: Hop, parent: Option<&str>) -> HopSpan {
         let span = self
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -63,7 +63,6 @@
 mod session;
 pub mod session_token;
 mod sibling_table;
-pub mod session_token;
 pub mod slow_weight;
 mod starting;
 pub mod submission;
