--- a/lib/testsupport/tests/upstream_faults.rs
+++ b/lib/testsupport/tests/upstream_faults.rs
@@ -90,6 +90,26 @@
             starts: 1,
             counter: |counters| counters.wrong_task_ids,
         },
+        Case {
+            name: "holds the answer back",
+            faults: UpstreamFaults {
+                delay_ms: 5,
+                ..none.clone()
+            },
+            status: Some(200),
+            starts: 1,
+            counter: |counters| counters.delayed,
+        },
+        Case {
+            name: "runs slowly",
+            faults: UpstreamFaults {
+                slow_factor: 5.0,
+                ..none.clone()
+            },
+            status: Some(200),
+            starts: 1,
+            counter: |counters| counters.slowed,
+        },
         Case {
             name: "refuses all",
             faults: UpstreamFaults {
