almondctl: check, submit, show, history, status, diff, schema, completions

Operators drive the site by the document alone, so one program checks it, puts it in force by compare-and-set, and tells the loser of a race which paths changed since the revision it started from. Results go to the standard output for people or as JSON, errors with step and peer to the standard error, and the exit codes are in the help.

--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -1,1 +1,51 @@
-//! Placeholder.
+//! The operators' program: it checks, submits and shows the document, and asks for its state.
+
+mod check_command;
+mod cli;
+mod completions_command;
+mod context;
+mod diff_command;
+mod document_source;
+mod error;
+mod exit;
+mod history_command;
+mod report;
+mod schema_command;
+mod show_command;
+mod status_command;
+mod status_probe;
+mod status_report;
+mod submit_command;
+mod submitting;
+mod utc;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+/// Runs the program with its arguments, the first being its own name.
+///
+/// Results go to the standard output, errors with their step and peer to the standard error.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    match cli::command().try_get_matches_from(arguments) {
+        Ok(matches) => exit_code(smol::block_on(cli::dispatch(&matches))),
+        Err(error) => {
+            // Nothing is left to tell where even this can't be written.
+            let _ = error.print();
+            let failed = error.use_stderr();
+            if failed {
+                exit::Exit::Usage
+            } else {
+                exit::Exit::Ok
+            }
+            .into()
+        }
+    }
+}
+
+fn exit_code(result: Result<exit::Exit, error::CtlError>) -> ExitCode {
+    let exit = result.unwrap_or_else(|error| {
+        eprintln!("almondctl: {error}");
+        error.exit()
+    });
+    exit.into()
+}
--- /dev/null
+++ b/ctl/src/status_report.rs
@@ -0,0 +1,90 @@
+//! The state of the entry instances.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use almondhead_lib::revision::Head;
+use almondhead_macros::message;
+use almondhead_net::InstanceState;
+
+use crate::history_command::head_line;
+
+/// The newest revision and the state of each entry instance.
+#[message]
+pub(crate) struct StatusReport {
+    /// The head; absent when there is none or the platform does not tell.
+    pub(crate) head: Option<Head>,
+    /// The entry instances, in the order of the platform's list.
+    pub(crate) instances: Vec<InstanceStatus>,
+}
+
+/// The state of one entry instance.
+#[message]
+pub(crate) struct InstanceStatus {
+    /// Its name; absent for one that is not on the platform's list.
+    pub(crate) name: Option<String>,
+    /// Its data centre, by the platform's list.
+    pub(crate) data_centre: Option<String>,
+    /// Whether the platform lists it as live or leaving.
+    pub(crate) listed_as: Option<InstanceState>,
+    /// Where it was asked; absent when the list tells no address.
+    pub(crate) address: Option<SocketAddr>,
+    /// Whether it says that it is ready.
+    pub(crate) ready: bool,
+    /// The revision that it has in force.
+    pub(crate) revision: Option<u64>,
+    /// Why it is not ready or tells no revision.
+    pub(crate) reason: Option<String>,
+}
+
+impl StatusReport {
+    /// Whether every entry instance is ready and holds the newest revision.
+    ///
+    /// One that the platform lists as leaving need not be ready.
+    pub(crate) fn as_intended(&self) -> bool {
+        let newest = self.head.as_ref().map(|head| head.revision);
+        let mut staying = self
+            .instances
+            .iter()
+            .filter(|instance| instance.listed_as != Some(InstanceState::Leaving));
+        staying.all(|instance| instance.ready && instance.revision >= newest)
+    }
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.head {
+            Some(head) => writeln!(formatter, "{}", head_line(head))?,
+            None => writeln!(formatter, "the newest revision is not known")?,
+        }
+        for instance in &self.instances {
+            writeln!(formatter, "{instance}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for InstanceStatus {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = self.name.as_deref().unwrap_or("not listed");
+        write!(formatter, "{name}")?;
+        if let Some(data_centre) = &self.data_centre {
+            write!(formatter, " in {data_centre}")?;
+        }
+        if let Some(address) = self.address {
+            write!(formatter, " at {address}")?;
+        }
+        if self.listed_as == Some(InstanceState::Leaving) {
+            write!(formatter, ", leaving")?;
+        }
+        let ready = if self.ready { "ready" } else { "not ready" };
+        write!(formatter, ": {ready}")?;
+        if let Some(revision) = self.revision {
+            write!(formatter, ", revision {revision}")?;
+        }
+        if let Some(reason) = &self.reason {
+            write!(formatter, ", {reason}")?;
+        }
+        Ok(())
+    }
+}
