--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod action;
 pub mod admission;
+mod authenticator;
 mod batching;
 pub mod check;
 mod check_cursor;
@@ -43,7 +44,12 @@
 pub mod overflow_batched;
 pub mod overflow_eager;
 pub mod ownership;
+pub mod peer_codec;
+pub mod peer_envelope;
 pub mod peer_message;
+#[allow(clippy::all, missing_docs, unreachable_pub)]
+#[rustfmt::skip]
+pub mod peer_proto;
 mod pending_claim;
 mod plan;
 pub mod policies;
@@ -62,6 +68,7 @@
 pub mod service;
 mod service_state;
 mod session;
+pub mod session_token;
 mod sibling_table;
 pub mod slow_weight;
 mod starting;
--- a/lib/testsupport/src/lib.rs
+++ b/lib/testsupport/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod broken_body;
 mod command;
+pub mod core_fakes;
 mod fault_proxy;
 mod locking;
 mod platform;
