entry: carry peer messages over nng push and pull

Push and pull repeat nothing by themselves, unlike req and rep. Each sibling has its own socket and a queue bounded in messages and bytes, which is dropped when the connection breaks: what waited would arrive at a sibling that has long given it up. A full inbox holds the senders back instead of losing answers.

The library's LocalAddr option gives a listener's port in network byte order, so the bound port is read by BoundPort.

--- /dev/null
+++ b/entry/src/peer_link.rs
@@ -0,0 +1,174 @@
+//! The connection to one sibling: a push socket, and the messages that wait for it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::time::Duration;
+
+use bytes::Bytes;
+use nng::Aio;
+use nng::AioResult;
+use nng::Message;
+use nng::PipeEvent;
+use nng::Protocol;
+use nng::Socket;
+use nng::options::Options;
+use nng::options::ReconnectMaxTime;
+use nng::options::ReconnectMinTime;
+use nng::options::RecvBufferSize;
+use nng::options::SendBufferSize;
+use nng::options::transport::tcp::NoDelay;
+
+use crate::peer_counters::PeerCount;
+use crate::peer_counters::PeerCounters;
+use crate::peer_queue::PeerQueue;
+
+/// The shortest time between two tries to connect to a sibling.
+const RECONNECT_MIN: Duration = Duration::from_millis(50);
+
+/// The longest time between two tries to connect to a sibling.
+const RECONNECT_MAX: Duration = Duration::from_millis(500);
+
+/// Sends to one sibling, one message at a time, and connects again for ever.
+#[derive(Debug)]
+pub(crate) struct PeerLink {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    sender: Aio,
+}
+
+/// Why a link did not take a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkRefusal {
+    NotConnected,
+    QueueFull,
+}
+
+#[derive(Debug)]
+struct Shared {
+    socket: Socket,
+    counters: Arc<PeerCounters>,
+    state: Mutex<LinkState>,
+}
+
+#[derive(Debug, Default)]
+struct LinkState {
+    connected: bool,
+    sending: bool,
+    queue: PeerQueue,
+}
+
+impl PeerLink {
+    /// A link that starts to connect to `address`.
+    pub(crate) fn open(address: SocketAddr, counters: Arc<PeerCounters>) -> nng::Result<Self> {
+        let socket = Socket::new(Protocol::Push0)?;
+        socket.set_opt::<SendBufferSize>(0)?;
+        socket.set_opt::<RecvBufferSize>(0)?;
+        socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
+        socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
+        socket.set_opt::<NoDelay>(true)?;
+        let shared = Arc::new(Shared {
+            socket,
+            counters,
+            state: Mutex::default(),
+        });
+        let sender = shared.sender()?;
+        shared.watch_connection()?;
+        shared.socket.dial_async(&format!("tcp://{address}"))?;
+        Ok(PeerLink {
+            address,
+            shared,
+            sender,
+        })
+    }
+
+    /// Where the sibling listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a sealed message after those that wait.
+    pub(crate) fn send(&self, message: Bytes) -> Result<(), LinkRefusal> {
+        let mut state = self.shared.lock();
+        if !state.connected {
+            return Err(LinkRefusal::NotConnected);
+        }
+        if !state.queue.push(message) {
+            return Err(LinkRefusal::QueueFull);
+        }
+        if !state.sending {
+            self.shared.send_next(&mut state, &self.sender);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.shared.socket.close();
+        self.sender.wait();
+    }
+}
+
+impl Shared {
+    /// An operation that sends one queued message after the other.
+    fn sender(self: &Arc<Self>) -> nng::Result<Aio> {
+        let shared = Arc::downgrade(self);
+        Aio::new(move |sender, result| {
+            if let Some(shared) = shared.upgrade() {
+                shared.sent(&sender, &result);
+            }
+        })
+    }
+
+    fn sent(&self, sender: &Aio, result: &AioResult) {
+        let outcome = match result {
+            AioResult::Send(Ok(())) => PeerCount::Sent,
+            _ => PeerCount::Lost,
+        };
+        self.counters.increment(outcome);
+        let mut state = self.lock();
+        self.send_next(&mut state, sender);
+    }
+
+    fn send_next(&self, state: &mut LinkState, sender: &Aio) {
+        state.sending = false;
+        while let Some(message) = state.queue.pop() {
+            let message = Message::from(&message[..]);
+            if self.socket.send_async(sender, message).is_ok() {
+                state.sending = true;
+                return;
+            }
+            self.counters.increment(PeerCount::Lost);
+        }
+    }
+
+    fn watch_connection(self: &Arc<Self>) -> nng::Result<()> {
+        let shared: Weak<Shared> = Arc::downgrade(self);
+        self.socket.pipe_notify(move |_, event| {
+            let Some(shared) = shared.upgrade() else {
+                return;
+            };
+            match event {
+                PipeEvent::AddPost => shared.lock().connected = true,
+                PipeEvent::RemovePost => shared.disconnected(),
+                _ => {}
+            }
+        })
+    }
+
+    /// Drops what waits: it would arrive at a sibling that has long given it up, or another.
+    fn disconnected(&self) {
+        let mut state = self.lock();
+        state.connected = false;
+        let dropped = state.queue.clear();
+        self.counters.add(PeerCount::Lost, dropped);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/entry/src/peer_nng.rs
@@ -0,0 +1,237 @@
+//! Peer messages over `nng`: a pull socket that takes them, and a push socket for each sibling.
+//!
+//! Push and pull send each message at most once and answer nothing, so the library repeats none.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+
+use almondhead_lib::event::PeerIdentity;
+use almondhead_lib::membership::Sibling;
+use almondhead_lib::peer_envelope::Envelope;
+use almondhead_lib::peer_envelope::EnvelopeSealer;
+use almondhead_lib::peer_envelope::MAX_ENVELOPE_BYTES;
+use almondhead_lib::peer_envelope::OpenError;
+use almondhead_lib::peer_envelope::SealError;
+use almondhead_lib::peer_message::PeerMessage;
+use bytes::Bytes;
+use indexmap::IndexMap;
+use nng::Aio;
+use nng::AioResult;
+use nng::Message;
+use nng::Protocol;
+use nng::Socket;
+use nng::options::Options;
+use nng::options::RecvBufferSize;
+use nng::options::RecvMaxSize;
+use nng::options::transport::tcp::BoundPort;
+use smol::channel::Sender;
+
+use crate::peer::Incoming;
+use crate::peer::MAX_INCOMING_MESSAGES;
+use crate::peer::PeerSendError;
+use crate::peer::PeerSettings;
+use crate::peer::PeerStartError;
+use crate::peer::PeerTransport;
+use crate::peer_counters::PeerCount;
+use crate::peer_counters::PeerCounters;
+use crate::peer_link::LinkRefusal;
+use crate::peer_link::PeerLink;
+
+/// The transport between entry processes.
+pub struct NngTransport {
+    identity: PeerIdentity,
+    sealer: EnvelopeSealer,
+    counters: Arc<PeerCounters>,
+    local_address: SocketAddr,
+    links: RwLock<IndexMap<Arc<str>, PeerLink>>,
+    incoming: Sender<Envelope>,
+    socket: Socket,
+    receiver: Aio,
+}
+
+impl NngTransport {
+    /// Listens for messages, which come out of the channel.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerStartError`] when the address cannot be listened on.
+    pub fn start(settings: PeerSettings) -> Result<(Self, Incoming), PeerStartError> {
+        let address = settings.listen;
+        let failed = |step| {
+            move |error: nng::Error| PeerStartError {
+                step,
+                address,
+                reason: error.to_string(),
+            }
+        };
+        let sealer = EnvelopeSealer::new(&settings.key);
+        let counters = Arc::new(PeerCounters::default());
+        let (incoming, messages) = smol::channel::bounded(MAX_INCOMING_MESSAGES);
+        let socket = pull_socket().map_err(failed("open the peer socket"))?;
+        let local_address = listen(&socket, address).map_err(failed("listen for peers"))?;
+        let inbox = Inbox {
+            socket: socket.clone(),
+            sealer: sealer.clone(),
+            counters: counters.clone(),
+            incoming: incoming.clone(),
+        };
+        let receiver = Aio::new(move |receiver, result| inbox.take(&receiver, result))
+            .map_err(failed("prepare receiving"))?;
+        socket
+            .recv_async(&receiver)
+            .map_err(failed("receive from peers"))?;
+        let transport = NngTransport {
+            identity: settings.identity,
+            sealer,
+            counters,
+            local_address,
+            links: RwLock::default(),
+            incoming,
+            socket,
+            receiver,
+        };
+        Ok((transport, messages))
+    }
+
+    /// The address that it listens on.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// What it counted.
+    pub fn counters(&self) -> Arc<PeerCounters> {
+        self.counters.clone()
+    }
+
+    fn seal(&self, to: &Arc<str>, message: &PeerMessage) -> Result<Bytes, PeerSendError> {
+        let envelope = Envelope {
+            sender: self.identity.clone(),
+            message: message.clone(),
+        };
+        let sealed = self.sealer.seal(&envelope);
+        sealed.map_err(
+            |SealError::TooLarge { envelope_bytes }| PeerSendError::TooLarge {
+                to: to.clone(),
+                envelope_bytes,
+            },
+        )
+    }
+
+    fn send_sealed(&self, to: &Arc<str>, message: &PeerMessage) -> Result<(), PeerSendError> {
+        let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
+        let link = links.get(to);
+        let link = link.ok_or_else(|| PeerSendError::UnknownSibling { to: to.clone() })?;
+        let sealed = self.seal(to, message)?;
+        link.send(sealed).map_err(|refusal| match refusal {
+            LinkRefusal::NotConnected => PeerSendError::NotConnected { to: to.clone() },
+            LinkRefusal::QueueFull => PeerSendError::QueueFull { to: to.clone() },
+        })
+    }
+
+    fn open_link(&self, sibling: &Sibling) -> Option<PeerLink> {
+        let link = PeerLink::open(sibling.peer_address, self.counters.clone());
+        if let Err(error) = &link {
+            tracing::warn!(
+                sibling = &*sibling.name,
+                address = %sibling.peer_address,
+                %error,
+                "open the connection to a sibling"
+            );
+        }
+        link.ok()
+    }
+}
+
+impl PeerTransport for NngTransport {
+    fn send(&self, to: &Arc<str>, message: &PeerMessage) -> Result<(), PeerSendError> {
+        let sent = self.send_sealed(to, message);
+        if let Err(error) = &sent {
+            self.counters.increment(count_of(error));
+        }
+        sent
+    }
+
+    fn set_siblings(&self, siblings: &[Sibling]) {
+        let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
+        let mut before = std::mem::take(&mut *links);
+        for sibling in siblings {
+            if sibling.name == self.identity.instance {
+                continue;
+            }
+            let kept = before
+                .swap_remove(&sibling.name)
+                .filter(|link| link.address() == sibling.peer_address);
+            if let Some(link) = kept.or_else(|| self.open_link(sibling)) {
+                links.insert(sibling.name.clone(), link);
+            }
+        }
+    }
+}
+
+impl Drop for NngTransport {
+    fn drop(&mut self) {
+        self.incoming.close();
+        self.socket.close();
+        self.receiver.wait();
+    }
+}
+
+/// Takes what the pull socket receives.
+struct Inbox {
+    socket: Socket,
+    sealer: EnvelopeSealer,
+    counters: Arc<PeerCounters>,
+    incoming: Sender<Envelope>,
+}
+
+impl Inbox {
+    /// Passes a message on and waits for the next; a full channel holds the senders back.
+    fn take(&self, receiver: &Aio, result: AioResult) {
+        match result {
+            AioResult::Recv(Ok(message)) => self.pass_on(&message),
+            AioResult::Recv(Err(nng::Error::Closed)) => return,
+            _ => {}
+        }
+        // Fails only when the socket is closed, which ends the receiving.
+        let _ = self.socket.recv_async(receiver);
+    }
+
+    fn pass_on(&self, message: &Message) {
+        match self.sealer.open(Bytes::copy_from_slice(message)) {
+            Ok(envelope) => {
+                self.counters.increment(PeerCount::Received);
+                // Fails only when nobody takes messages any more.
+                let _ = self.incoming.send_blocking(envelope);
+            }
+            Err(OpenError::Invalid(_)) => self.counters.increment(PeerCount::Invalid),
+            Err(OpenError::NotAuthentic | OpenError::TooLarge { .. }) => {
+                self.counters.increment(PeerCount::NotAuthentic);
+            }
+        }
+    }
+}
+
+fn pull_socket() -> nng::Result<Socket> {
+    let socket = Socket::new(Protocol::Pull0)?;
+    socket.set_opt::<RecvMaxSize>(MAX_ENVELOPE_BYTES)?;
+    socket.set_opt::<RecvBufferSize>(0)?;
+    Ok(socket)
+}
+
+fn listen(socket: &Socket, address: SocketAddr) -> nng::Result<SocketAddr> {
+    let listener = nng::Listener::new(socket, &format!("tcp://{address}"))?;
+    let port = listener.get_opt::<BoundPort>()?;
+    Ok(SocketAddr::new(address.ip(), port))
+}
+
+const fn count_of(error: &PeerSendError) -> PeerCount {
+    match error {
+        PeerSendError::NotConnected { .. } => PeerCount::NotConnected,
+        PeerSendError::QueueFull { .. } => PeerCount::QueueFull,
+        PeerSendError::UnknownSibling { .. } | PeerSendError::TooLarge { .. } => {
+            PeerCount::NotSendable
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/peer_queue.rs
@@ -0,0 +1,47 @@
+//! The sealed messages that wait for one sibling, bounded in number and bytes.
+
+use std::collections::VecDeque;
+
+use almondhead_lib::peer_envelope::MAX_ENVELOPE_BYTES;
+use bytes::Bytes;
+
+/// The most messages that wait for one sibling.
+pub const MAX_QUEUED_MESSAGES: usize = 1_024;
+
+/// The most bytes that wait for one sibling.
+pub const MAX_QUEUED_BYTES: usize = MAX_ENVELOPE_BYTES;
+
+/// Messages in the order in which they were handed over.
+#[derive(Debug, Default)]
+pub(crate) struct PeerQueue {
+    messages: VecDeque<Bytes>,
+    queued_bytes: usize,
+}
+
+impl PeerQueue {
+    /// Takes a message when it fits.
+    pub(crate) fn push(&mut self, message: Bytes) -> bool {
+        let queued_bytes = self.queued_bytes + message.len();
+        if self.messages.len() >= MAX_QUEUED_MESSAGES || queued_bytes > MAX_QUEUED_BYTES {
+            return false;
+        }
+        self.queued_bytes = queued_bytes;
+        self.messages.push_back(message);
+        true
+    }
+
+    /// The message that waits longest.
+    pub(crate) fn pop(&mut self) -> Option<Bytes> {
+        let message = self.messages.pop_front()?;
+        self.queued_bytes -= message.len();
+        Some(message)
+    }
+
+    /// Drops all messages and gives how many there were.
+    pub(crate) fn clear(&mut self) -> usize {
+        let dropped = self.messages.len();
+        self.messages = VecDeque::new();
+        self.queued_bytes = 0;
+        dropped
+    }
+}
--- /dev/null
+++ b/entry/tests/peer_transport.rs
@@ -0,0 +1,278 @@
+//! Peer messages between transports over loopback.
+
+#[path = "../../lib/tests/common/mod.rs"]
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use almondhead_entry::peer::Incoming;
+use almondhead_entry::peer::PeerSendError;
+use almondhead_entry::peer::PeerSettings;
+use almondhead_entry::peer::PeerTransport;
+use almondhead_entry::peer_counters::PeerCount;
+use almondhead_entry::peer_memory::MemoryNetwork;
+use almondhead_entry::peer_nng::NngTransport;
+use almondhead_entry::peer_queue::MAX_QUEUED_BYTES;
+use almondhead_lib::event::PeerIdentity;
+use almondhead_lib::id::Incarnation;
+use almondhead_lib::membership::Sibling;
+use almondhead_lib::peer_envelope::Envelope;
+use almondhead_lib::peer_envelope::MAX_ENVELOPE_BYTES;
+use almondhead_lib::peer_message::PeerMessage;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use nng::Protocol;
+use nng::Socket;
+use quickcheck::Gen;
+
+use crate::common::any_message::KINDS;
+use crate::common::any_message::message_of_kind;
+
+const KEY: &[u8] = b"a key of the firm, 32 bytes long";
+const SEED: u64 = 0x5eed;
+const WITHIN: Duration = Duration::from_secs(5);
+const RECONNECT_WITHIN: Duration = Duration::from_secs(1);
+const POLL: Duration = Duration::from_millis(5);
+
+struct Peer {
+    transport: NngTransport,
+    incoming: Incoming,
+}
+
+fn identity(instance: &str, incarnation: u64) -> PeerIdentity {
+    PeerIdentity {
+        instance: Arc::from(instance),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn start(instance: &str, incarnation: u64, listen: SocketAddr, key: &[u8]) -> Peer {
+    let settings = PeerSettings {
+        identity: identity(instance, incarnation),
+        listen,
+        key: key.to_vec(),
+    };
+    let (transport, incoming) = NngTransport::start(settings).unwrap();
+    Peer {
+        transport,
+        incoming,
+    }
+}
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn sibling(name: &str, peer_address: SocketAddr) -> Sibling {
+    Sibling {
+        name: Arc::from(name),
+        data_centre: Arc::from("ate"),
+        peer_address,
+        incarnation: None,
+        leaving: false,
+    }
+}
+
+/// Two transports that know each other.
+fn pair(key_of_second: &[u8]) -> (Peer, Peer) {
+    let first = start("ate-1", 1, any_port(), KEY);
+    let second = start("ate-2", 2, any_port(), key_of_second);
+    let first_address = first.transport.local_address();
+    let second_address = second.transport.local_address();
+    first
+        .transport
+        .set_siblings(&[sibling("ate-2", second_address)]);
+    second
+        .transport
+        .set_siblings(&[sibling("ate-1", first_address)]);
+    (first, second)
+}
+
+/// Sends once there is a connection.
+fn send_within(peer: &Peer, to: &str, message: &PeerMessage, within: Duration) {
+    let to = Arc::from(to);
+    let started = Instant::now();
+    loop {
+        match peer.transport.send(&to, message) {
+            Ok(()) => return,
+            Err(PeerSendError::NotConnected { .. }) if started.elapsed() < within => {
+                std::thread::sleep(POLL);
+            }
+            Err(error) => panic!("{error} after {:?}", started.elapsed()),
+        }
+    }
+}
+
+fn take(incoming: &Incoming) -> Option<Envelope> {
+    let timeout = async {
+        smol::Timer::after(WITHIN).await;
+        None
+    };
+    smol::block_on(async { incoming.recv().await.ok() }.or(timeout))
+}
+
+fn wait_for(peer: &Peer, count: PeerCount, at_least: u64) {
+    let started = Instant::now();
+    while peer.transport.counters().get(count) < at_least {
+        assert!(started.elapsed() < WITHIN, "{count:?} stays too low");
+        std::thread::sleep(POLL);
+    }
+}
+
+#[test]
+fn every_kind_arrives() {
+    let (first, second) = pair(KEY);
+    let mut g = Gen::from_size_and_seed(30, SEED);
+    for round in 0..10 * KINDS {
+        let message = message_of_kind(&mut g, round % KINDS);
+        send_within(&first, "ate-2", &message, WITHIN);
+        let there = take(&second.incoming).unwrap();
+        assert_eq!(there.sender, identity("ate-1", 1));
+        assert_eq!(there.message, message);
+        send_within(&second, "ate-1", &message, WITHIN);
+        let back = take(&first.incoming).unwrap();
+        assert_eq!(back.sender, identity("ate-2", 2));
+        assert_eq!(back.message, message);
+    }
+}
+
+#[test]
+fn order_is_kept() {
+    let (first, second) = pair(KEY);
+    let numbers = 0..500;
+    for correlation in numbers.clone() {
+        let message = PeerMessage::HomeGone { correlation };
+        send_within(&first, "ate-2", &message, WITHIN);
+    }
+    for correlation in numbers {
+        let message = take(&second.incoming).unwrap().message;
+        assert_eq!(message, PeerMessage::HomeGone { correlation });
+    }
+}
+
+#[test]
+fn wrong_key_dropped() {
+    let (first, second) = pair(b"another firm's key of 32 bytes..");
+    let message = PeerMessage::HomeGone { correlation: 1 };
+    send_within(&second, "ate-1", &message, WITHIN);
+    wait_for(&first, PeerCount::NotAuthentic, 1);
+    assert!(first.incoming.is_empty());
+    assert_eq!(first.transport.counters().get(PeerCount::Received), 0);
+}
+
+#[test]
+fn noise_dropped() {
+    let first = start("ate-1", 1, any_port(), KEY);
+    let stranger = Socket::new(Protocol::Push0).unwrap();
+    let address = first.transport.local_address();
+    stranger.dial(&format!("tcp://{address}")).unwrap();
+    for noise in [&b""[..], b"short", &[0; 32], &[7; 4_096]] {
+        stranger.send(noise).unwrap();
+    }
+    wait_for(&first, PeerCount::NotAuthentic, 4);
+    assert!(first.incoming.is_empty());
+}
+
+#[test]
+fn oversized_refused() {
+    let (first, second) = pair(KEY);
+    let message = PeerMessage::DocumentBody {
+        revision: 1,
+        text: Bytes::from(vec![b' '; MAX_ENVELOPE_BYTES]),
+    };
+    let sent = first.transport.send(&Arc::from("ate-2"), &message);
+    assert!(matches!(sent, Err(PeerSendError::TooLarge { .. })));
+
+    let stranger = Socket::new(Protocol::Push0).unwrap();
+    let address = second.transport.local_address();
+    stranger.dial(&format!("tcp://{address}")).unwrap();
+    let oversized = vec![0; MAX_ENVELOPE_BYTES + 1];
+    let _ = stranger.send(&oversized);
+    send_within(
+        &first,
+        "ate-2",
+        &PeerMessage::HomeGone { correlation: 1 },
+        WITHIN,
+    );
+    assert!(take(&second.incoming).is_some());
+    assert_eq!(second.transport.counters().get(PeerCount::NotAuthentic), 0);
+}
+
+#[test]
+fn restarted_sibling_reconnects() {
+    let (first, second) = pair(KEY);
+    let address = second.transport.local_address();
+    let message = PeerMessage::HomeGone { correlation: 1 };
+    send_within(&first, "ate-2", &message, WITHIN);
+    assert!(take(&second.incoming).is_some());
+    drop(second);
+    let to = Arc::from("ate-2");
+    let started = Instant::now();
+    while first.transport.send(&to, &message).is_ok() {
+        assert!(started.elapsed() < WITHIN);
+        std::thread::sleep(POLL);
+    }
+    let second = start("ate-2", 3, address, KEY);
+    let message = PeerMessage::HomeGone { correlation: 2 };
+    send_within(&first, "ate-2", &message, RECONNECT_WITHIN);
+    let started = Instant::now();
+    while take(&second.incoming).unwrap().message != message {
+        assert!(started.elapsed() < WITHIN);
+    }
+}
+
+#[test]
+fn full_queue_refuses() {
+    let (first, second) = pair(KEY);
+    let to = Arc::from("ate-2");
+    let message = PeerMessage::DocumentBody {
+        revision: 1,
+        text: Bytes::from(vec![b' '; MAX_QUEUED_BYTES / 8]),
+    };
+    send_within(&first, "ate-2", &message, WITHIN);
+    let mut accepted = 1_u64;
+    let refused = loop {
+        match first.transport.send(&to, &message) {
+            Ok(()) => accepted += 1,
+            Err(error) => break error,
+        }
+        assert!(accepted < 10_000);
+    };
+    assert!(matches!(refused, PeerSendError::QueueFull { .. }));
+    assert_eq!(first.transport.counters().get(PeerCount::QueueFull), 1);
+    for _ in 0..accepted {
+        assert!(take(&second.incoming).is_some());
+    }
+    send_within(&first, "ate-2", &message, WITHIN);
+    assert!(take(&second.incoming).is_some());
+}
+
+#[test]
+fn unlisted_refused() {
+    let (first, _second) = pair(KEY);
+    first.transport.set_siblings(&[]);
+    let message = PeerMessage::HomeGone { correlation: 1 };
+    let sent = first.transport.send(&Arc::from("ate-2"), &message);
+    assert!(matches!(sent, Err(PeerSendError::UnknownSibling { .. })));
+}
+
+#[test]
+fn memory_delivers() {
+    let network = MemoryNetwork::default();
+    let (first, _) = network.join(identity("ate-1", 1));
+    let (_second, incoming) = network.join(identity("ate-2", 2));
+    let to = Arc::from("ate-2");
+    let message = PeerMessage::HomeGone { correlation: 1 };
+    assert!(first.send(&to, &message).is_err());
+    first.set_siblings(&[sibling("ate-2", any_port())]);
+    first.send(&to, &message).unwrap();
+    let envelope = take(&incoming).unwrap();
+    assert_eq!(envelope.sender, identity("ate-1", 1));
+    assert_eq!(envelope.message, message);
+    drop(incoming);
+    let sent = first.send(&to, &message);
+    assert!(matches!(sent, Err(PeerSendError::NotConnected { .. })));
+}
--- a/lib/tests/common/any_message.rs
+++ b/lib/tests/common/any_message.rs
@@ -30,17 +30,6 @@
 /// The kinds of [`PeerMessage`].
 pub(crate) const KINDS: usize = 10;
 
-/// An arbitrary message, as quickcheck draws it.
-#[derive(Clone, Debug)]
-pub(crate) struct AnyMessage(pub(crate) PeerMessage);
-
-impl Arbitrary for AnyMessage {
-    fn arbitrary(g: &mut Gen) -> Self {
-        let kind = usize::arbitrary(g) % KINDS;
-        AnyMessage(message_of_kind(g, kind))
-    }
-}
-
 /// An arbitrary message of the kind with this number, below [`KINDS`].
 pub(crate) fn message_of_kind(g: &mut Gen, kind: usize) -> PeerMessage {
     match kind {
--- a/lib/tests/peer_codec.rs
+++ b/lib/tests/peer_codec.rs
@@ -20,13 +20,13 @@
 use almondhead_lib::peer_proto::peer_message::Kind;
 use bytes::Bytes;
 use prost::Message;
+use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::quickcheck;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::common::any_message::AnyMessage;
 use crate::common::any_message::KINDS;
 use crate::common::any_message::message_of_kind;
 
@@ -34,6 +34,17 @@
 const SEED: u64 = 0x5eed;
 const NOISE_ROUNDS: usize = 20_000;
 
+/// An arbitrary message, as quickcheck draws it.
+#[derive(Clone, Debug)]
+struct AnyMessage(PeerMessage);
+
+impl Arbitrary for AnyMessage {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let kind = usize::arbitrary(g) % KINDS;
+        AnyMessage(message_of_kind(g, kind))
+    }
+}
+
 fn envelope(message: PeerMessage) -> Envelope {
     Envelope {
         sender: PeerIdentity {
