--- /dev/null
+++ b/entry/tests/site/mod.rs
@@ -0,0 +1,256 @@
+//! A site of real entry processes between stand-ins, for the tests of the entry.
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use almondhead_lib::document::Document;
+use almondhead_lib::service::Service;
+use almondhead_lib::team::Team;
+use almondhead_lib::upstream::Upstream;
+use almondhead_net::HttpClient;
+use almondhead_net::HttpRequest;
+use almondhead_net::HttpResponse;
+use almondhead_net::HttpSettings;
+use almondhead_net::Method;
+use almondhead_net::Platform;
+use almondhead_net::header::HeaderName;
+use almondhead_net::header::HeaderValue;
+use almondhead_testsupport::PlatformSettings;
+use almondhead_testsupport::PlatformStandIn;
+use almondhead_testsupport::ProcessHandle;
+use almondhead_testsupport::UpstreamSettings;
+use almondhead_testsupport::UpstreamStandIn;
+use almondhead_testsupport::free_address;
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+
+pub type TestResult = Result<(), Box<dyn Error>>;
+
+pub const SERVICE: &str = "lookup";
+pub const TEAM: &str = "agents";
+pub const START_TIMEOUT: Duration = Duration::from_secs(20);
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One platform, some upstreams and some entry processes, all on this machine.
+pub struct Site {
+    pub platform: PlatformStandIn,
+    pub upstreams: Vec<UpstreamStandIn>,
+    pub entries: Vec<Entry>,
+    pub client: HttpClient,
+    pub directory: TempDir,
+}
+
+/// One entry process and where it is reached.
+pub struct Entry {
+    pub process: ProcessHandle,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+}
+
+impl Site {
+    /// Starts a platform, `upstreams` of 8 slots and one entry, and waits until it is ready.
+    pub async fn start(upstreams: usize) -> Result<Site, Box<dyn Error>> {
+        let mut site = Site::without_entries(upstreams).await?;
+        let document = site.document();
+        site.install(1, &document).await?;
+        site.start_entry("entry-a", "north", json!({})).await?;
+        Ok(site)
+    }
+
+    /// Starts a platform and `upstreams` of 8 slots.
+    pub async fn without_entries(upstreams: usize) -> Result<Site, Box<dyn Error>> {
+        let mut started = Vec::new();
+        for _ in 0..upstreams {
+            started.push(UpstreamStandIn::start(UpstreamSettings::default()).await?);
+        }
+        Ok(Site {
+            platform: PlatformStandIn::start(PlatformSettings::default()).await?,
+            upstreams: started,
+            entries: Vec::new(),
+            client: HttpClient::new(HttpSettings {
+                connections: 256,
+                ..HttpSettings::default()
+            }),
+            directory: tempfile::tempdir()?,
+        })
+    }
+
+    /// A document that uses each upstream under its own address.
+    pub fn document(&self) -> Document {
+        let addresses = self.upstreams.iter().map(UpstreamStandIn::address);
+        document(&addresses.collect::<Vec<SocketAddr>>())
+    }
+
+    /// Puts a document in the platform's store as the head.
+    pub async fn install(&self, revision: u64, document: &Document) -> TestResult {
+        let head = json!({
+            "revision": revision,
+            "object": format!("document-{revision}"),
+            "writer_token": "test",
+            "author": "test",
+            "submitted_at_unix_ms": 0,
+            "note": "",
+        });
+        let contents = self.platform.contents();
+        let text = serde_json::to_vec(document)?;
+        let object = format!("document-{revision}");
+        contents.put_object(&object, text.into()).await?;
+        let present = contents.read("documents", "head").await?;
+        let expected = present.map(|row| row.revision);
+        let head = serde_json::to_vec(&head)?;
+        contents
+            .compare_and_set("documents", "head", expected, head.into())
+            .await?;
+        Ok(())
+    }
+
+    /// Starts an entry with `changes` to its settings, and waits until it is ready.
+    pub async fn start_entry(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        changes: Value,
+    ) -> Result<usize, Box<dyn Error>> {
+        let callers = free_address()?;
+        let operators = free_address()?;
+        let mut settings = json!({
+            "instance": name,
+            "data_centre": data_centre,
+            "caller_address": callers,
+            "peer_address": free_address()?,
+            "operator_address": operators,
+            "platform_address": self.platform.address(),
+            "peer_key": "a key for tests of thirty-two bytes or more",
+            "stop_notice_ms": 300,
+        });
+        if let (Some(settings), Some(changes)) = (settings.as_object_mut(), changes.as_object()) {
+            settings.extend(changes.clone());
+        }
+        let file = self.directory.path().join(format!("{name}.jsonc"));
+        fs::write(&file, settings.to_string())?;
+        let program = Path::new(env!("CARGO_BIN_EXE_almondhead"));
+        let mut process = ProcessHandle::start(program, ["--settings".as_ref(), file.as_os_str()])?;
+        process
+            .wait_for_ok(operators, "/readyz", START_TIMEOUT)
+            .await?;
+        self.entries.push(Entry {
+            process,
+            callers,
+            operators,
+        });
+        Ok(self.entries.len() - 1)
+    }
+
+    /// Opens a session at an entry and returns its token.
+    pub async fn open_session(&self, entry: usize) -> Result<String, Box<dyn Error>> {
+        let request = self.request(entry, Method::POST, "/v1/sessions");
+        let answer = self.send(request).await?;
+        assert_eq!(answer.status, 201, "{:?}", answer.body);
+        let session = json_of(&answer)?["session"].clone();
+        Ok(session.as_str().ok_or("session is no text")?.to_owned())
+    }
+
+    pub fn request(&self, entry: usize, method: Method, path: &str) -> HttpRequest {
+        HttpRequest::new(method, self.entries[entry].callers, path)
+    }
+
+    pub async fn send(&self, request: HttpRequest) -> Result<HttpResponse, Box<dyn Error>> {
+        Ok(self.client.send(request, REQUEST_TIMEOUT).await?)
+    }
+
+    /// Sends a single task.
+    pub async fn send_task(
+        &self,
+        entry: usize,
+        body: &Value,
+    ) -> Result<HttpResponse, Box<dyn Error>> {
+        let request = self.request(entry, Method::POST, "/v1/tasks");
+        self.send(request.with_body(body.to_string())).await
+    }
+
+    /// How many tasks started over all upstreams, and the most starts of one task.
+    pub fn starts(&self) -> Starts {
+        let mut starts = Starts::default();
+        for upstream in &self.upstreams {
+            for task in upstream.report().tasks {
+                starts.tasks += 1;
+                starts.most_of_one = starts.most_of_one.max(task.starts);
+            }
+        }
+        starts
+    }
+}
+
+/// What the upstreams' records say.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Starts {
+    pub tasks: usize,
+    pub most_of_one: u64,
+}
+
+/// The body of a job whose tasks run for `run_ms`.
+pub fn job(tasks: usize, run_ms: u64) -> Value {
+    let inputs: Vec<Value> = (0..tasks)
+        .map(|index| json!({ "run_ms": run_ms, "index": index }))
+        .collect();
+    json!({ "service": SERVICE, "team": TEAM, "timeout_ms": 20_000, "inputs": inputs })
+}
+
+/// A request with one more header.
+pub fn with_header(mut request: HttpRequest, name: &'static str, value: &str) -> HttpRequest {
+    let value = HeaderValue::try_from(value).expect("header value of a test is plain text");
+    request.headers.insert(HeaderName::from_static(name), value);
+    request
+}
+
+/// The body of an answer, which must be JSON.
+pub fn json_of(answer: &HttpResponse) -> Result<Value, Box<dyn Error>> {
+    Ok(serde_json::from_slice(&answer.body)?)
+}
+
+/// A document of one service whose upstreams stand in the data centre `north`.
+pub fn document(addresses: &[SocketAddr]) -> Document {
+    let upstreams = addresses.iter().enumerate().map(|(index, address)| Upstream {
+        name: format!("upstream-{index}"),
+        data_centre: "north".to_owned(),
+        rack: String::new(),
+        service: SERVICE.to_owned(),
+        address: *address,
+        slots: 8,
+        connections: 64,
+        cores: 16,
+        memory_mib: 65_536,
+        accelerators: 0,
+        leaves_at_unix_ms: None,
+    });
+    let data_centre = |name: &str| serde_json::from_value(json!({ "name": name }));
+    Document {
+        firm: "tests".to_owned(),
+        data_centres: ["north", "south"]
+            .into_iter()
+            .filter_map(|name| data_centre(name).ok())
+            .collect(),
+        services: vec![Service {
+            name: SERVICE.to_owned(),
+            path: "/v1/tasks".to_owned(),
+            max_deadline_ms: 30_000,
+            default_deadline_ms: 10_000,
+            max_tasks_per_job: 480,
+            max_input_bytes: 65_536,
+            retry_unknown: false,
+            http2: false,
+        }],
+        upstreams: upstreams.collect(),
+        teams: vec![Team {
+            name: TEAM.to_owned(),
+            weight: 1,
+            max_open_tasks: 5_000,
+            max_tasks_per_second: 5_000,
+        }],
+        ..Document::default()
+    }
+}
--- /dev/null
+++ b/entry/tests/whole_path.rs
@@ -0,0 +1,220 @@
+//! A caller's submission through a real entry process to upstreams and back.
+
+mod site;
+
+use almondhead_net::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::site::SERVICE;
+use crate::site::Site;
+use crate::site::Starts;
+use crate::site::TEAM;
+use crate::site::TestResult;
+use crate::site::job;
+use crate::site::json_of;
+use crate::site::with_header;
+
+#[test]
+fn one_task_is_answered_whole() -> TestResult {
+    smol::block_on(async {
+        let site = Site::start(1).await?;
+        let request = site.request(0, Method::POST, "/v1/tasks");
+        let request = with_header(request, "request-id", "call-7");
+        let answer = site.send(request.with_body(job(1, 5).to_string())).await?;
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+        assert_eq!(answer.header("request-id"), Some("call-7"));
+        assert!(answer.header("content-length").is_some());
+        let body = json_of(&answer)?;
+        assert_eq!(body["outcome"], "complete");
+        assert_eq!(body["results"][0]["echo"]["index"], 0);
+        let starts = Starts {
+            tasks: 1,
+            most_of_one: 1,
+        };
+        assert_eq!(site.starts(), starts);
+        Ok(())
+    })
+}
+
+#[test]
+fn large_job_is_answered_whole() -> TestResult {
+    smol::block_on(async {
+        let site = Site::start(3).await?;
+        let session = site.open_session(0).await?;
+        let path = format!("/v1/sessions/{session}/jobs/1");
+        let body = job(480, 5).to_string();
+        let request = site.request(0, Method::PUT, &path).with_body(body.clone());
+        let answer = site.send(request).await?;
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+        let results = json_of(&answer)?["results"].clone();
+        let indices: Vec<Option<u64>> = results
+            .as_array()
+            .into_iter()
+            .flatten()
+            .map(|result| result["echo"]["index"].as_u64())
+            .collect();
+        let wanted: Vec<Option<u64>> = (0..480).map(Some).collect();
+        assert_eq!(indices, wanted);
+
+        let again = site.request(0, Method::PUT, &path).with_body(body);
+        assert_eq!(site.send(again).await?.body, answer.body);
+        let look_up = site.request(0, Method::GET, &path);
+        assert_eq!(site.send(look_up).await?.body, answer.body);
+        let starts = Starts {
+            tasks: 480,
+            most_of_one: 1,
+        };
+        assert_eq!(site.starts(), starts);
+        Ok(())
+    })
+}
+
+#[test]
+fn keyed_job_runs_once() -> TestResult {
+    smol::block_on(async {
+        let site = Site::start(1).await?;
+        let submit = || {
+            let request = site.request(0, Method::POST, "/v1/jobs");
+            with_header(request, "idempotency-key", "charge-1").with_body(job(2, 5).to_string())
+        };
+        let first = site.send(submit()).await?;
+        assert_eq!(first.status, 200, "{:?}", first.body);
+        assert_eq!(site.send(submit()).await?.body, first.body);
+        let path = format!("/v1/jobs/charge-1?team={TEAM}");
+        let look_up = site.request(0, Method::GET, &path);
+        assert_eq!(site.send(look_up).await?.body, first.body);
+        assert_eq!(site.starts().tasks, 2);
+        assert_eq!(site.starts().most_of_one, 1);
+        Ok(())
+    })
+}
+
+/// A faulty request, and the field that its answer must name.
+struct Fault {
+    body: String,
+    field: &'static str,
+}
+
+fn faults() -> Vec<Fault> {
+    let changed = |name: &str, value: Value| {
+        let mut body = job(1, 1);
+        body[name] = value;
+        body.to_string()
+    };
+    let fault = |body: String, field| Fault { body, field };
+    vec![
+        fault(String::new(), ""),
+        fault("[]".to_owned(), ""),
+        fault("{\"service\":".to_owned(), ""),
+        fault(job(1, 1).to_string().replace('}', ""), ""),
+        fault(changed("service", json!(7)), "/service"),
+        fault(changed("service", json!("")), "/service"),
+        fault(changed("team", Value::Null), "/team"),
+        fault(changed("team", json!("x".repeat(201))), "/team"),
+        fault(changed("timeout_ms", json!(0)), "/timeout_ms"),
+        fault(changed("timeout_ms", json!(-5)), "/timeout_ms"),
+        fault(changed("timeout_ms", json!(1.5)), "/timeout_ms"),
+        fault(changed("timeout_ms", json!("1000")), "/timeout_ms"),
+        fault(changed("idempotent", json!("yes")), "/idempotent"),
+        fault(changed("declared_run_ms", json!(1e30)), "/declared_run_ms"),
+        fault(changed("needs", json!([])), "/needs"),
+        fault(changed("needs", json!({"cores": -1})), "/needs/cores"),
+        fault(changed("needs", json!({"discs": 1})), "/needs/discs"),
+        fault(changed("inputs", json!([])), "/inputs"),
+        fault(changed("inputs", json!("a")), "/inputs"),
+        fault(changed("inputs", json!([1, 2])), "/inputs"),
+        fault(changed("urgent", json!(true)), "/urgent"),
+        fault(
+            format!("{{\"service\":\"{SERVICE}\",\"service\":\"{SERVICE}\",\"team\":\"{TEAM}\",\"inputs\":[1]}}"),
+            "/service",
+        ),
+    ]
+}
+
+#[test]
+fn faulty_input_runs_nothing() -> TestResult {
+    smol::block_on(async {
+        let site = Site::start(1).await?;
+        for fault in faults() {
+            let request = site.request(0, Method::POST, "/v1/tasks");
+            let answer = site.send(request.with_body(fault.body.clone())).await?;
+            let body = json_of(&answer)?;
+            let context = format!("{} -> {body}", fault.body);
+            assert_eq!(answer.status, 400, "{context}");
+            assert_eq!(
+                answer.header("content-type"),
+                Some("application/problem+json"),
+                "{context}"
+            );
+            assert_eq!(body["outcome"], "not_run", "{context}");
+            let errors = body["errors"].as_array().ok_or("no errors")?;
+            let named = errors.iter().any(|error| error["field"] == fault.field);
+            assert!(named, "{context}");
+        }
+        assert_eq!(site.starts(), Starts::default());
+        Ok(())
+    })
+}
+
+#[test]
+fn refusals_run_nothing() -> TestResult {
+    smol::block_on(async {
+        let site = Site::start(1).await?;
+        let changed = |name: &str, value: Value| {
+            let mut body = job(1, 1);
+            body[name] = value;
+            body
+        };
+        let table = [
+            (changed("service", json!("none")), 422, "unknown_service"),
+            (changed("team", json!("none")), 422, "unknown_team"),
+            (
+                changed("needs", json!({"cores": 1_000})),
+                422,
+                "needs_never_met",
+            ),
+            (
+                changed("inputs", json!(["x".repeat(70_000)])),
+                413,
+                "input_too_large",
+            ),
+        ];
+        for (body, status, reason) in table {
+            let answer = site.send_task(0, &body).await?;
+            assert_eq!(answer.status, status, "{reason}: {:?}", answer.body);
+            assert_eq!(json_of(&answer)?["reason"], reason);
+            assert_eq!(json_of(&answer)?["outcome"], "not_run");
+        }
+        assert_eq!(site.starts(), Starts::default());
+        Ok(())
+    })
+}
+
+#[test]
+fn wrong_addresses_are_refused() -> TestResult {
+    smol::block_on(async {
+        let site = Site::start(1).await?;
+        let session = site.open_session(0).await?;
+        let forged = format!("{session}A");
+        let table = [
+            (Method::GET, "/v1/none".to_owned(), 404),
+            (Method::DELETE, "/v1/tasks".to_owned(), 405),
+            (Method::PUT, format!("/v1/sessions/{forged}/jobs/1"), 400),
+            (Method::PUT, format!("/v1/sessions/{session}/jobs/x"), 400),
+            (Method::PUT, format!("/v1/sessions/{session}/jobs/-1"), 400),
+            (Method::GET, format!("/v1/sessions/{session}/jobs/9"), 404),
+            (Method::GET, "/v1/jobs/key".to_owned(), 400),
+            (Method::GET, format!("/v1/jobs/none?team={TEAM}"), 404),
+            (Method::POST, "/v1/jobs".to_owned(), 400),
+        ];
+        for (method, path, status) in table {
+            let request = site.request(0, method, &path);
+            let answer = site.send(request.with_body(job(1, 1).to_string())).await?;
+            assert_eq!(answer.status, status, "{path}: {:?}", answer.body);
+            assert_eq!(json_of(&answer)?["outcome"], "not_run", "{path}");
+        }
+        assert_eq!(site.starts(), Starts::default());
+        Ok(())
+    })
+}
