--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod deadline_queue;
 pub mod dispatcher;
 pub mod document;
+pub mod document_diff;
 pub mod document_limits;
 pub mod ejection_gate;
 mod ending;
@@ -43,7 +44,12 @@
 pub mod overflow_batched;
 pub mod overflow_eager;
 pub mod ownership;
+pub mod peer_codec;
+pub mod peer_envelope;
 pub mod peer_message;
+#[allow(clippy::all, missing_docs, unreachable_pub)]
+#[rustfmt::skip]
+pub mod peer_proto;
 mod pending_claim;
 mod plan;
 pub mod policies;
@@ -53,6 +59,7 @@
 pub mod quota;
 pub mod replay_window;
 pub mod retry_budget;
+pub mod revision;
 pub mod round_robin;
 pub mod run_estimate;
 mod running_attempt;
