--- a/entry/src/document_watch.rs
+++ b/entry/src/document_watch.rs
@@ -5,15 +5,21 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondhead_lib::check::Problem;
 use almondhead_lib::check::check_document;
+use almondhead_lib::document::Document;
 use almondhead_lib::event::Event;
+use almondhead_lib::revision::Head;
+use almondhead_net::DocumentStore;
+use almondhead_net::DocumentStoreError;
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
 
 use crate::driver_handle::DriverHandle;
+use crate::timer::TimerService;
 
 /// The revision of a document that comes from a file.
 const FILE_REVISION: u64 = 1;
@@ -66,11 +72,87 @@
         file: file.to_owned(),
         problems,
     })?;
+    hand_over(driver, FILE_REVISION, document, text).await;
+    Ok(())
+}
+
+/// Looks at the head in the platform's store again and again.
+pub(crate) struct DocumentWatch {
+    store: DocumentStore,
+    driver: DriverHandle,
+    read_revision: u64,
+    is_reachable: bool,
+}
+
+impl DocumentWatch {
+    pub(crate) fn new(store: DocumentStore, driver: DriverHandle) -> Self {
+        DocumentWatch {
+            store,
+            driver,
+            read_revision: 0,
+            is_reachable: true,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(mut self, timer: TimerService, period: Duration) {
+        let mut ticks = timer.every(period);
+        loop {
+            ticks.next().await;
+            let looked = self.look().await;
+            self.note_reachable(looked);
+        }
+    }
+
+    /// Hands over the head's document where its revision is higher than all before.
+    async fn look(&mut self) -> Result<(), DocumentStoreError> {
+        let Some(head) = self.store.head().await? else {
+            return Ok(());
+        };
+        if head.revision <= self.read_revision {
+            return Ok(());
+        }
+        let text = self.store.load(&head).await?;
+        self.read_revision = head.revision;
+        self.take(&head, text).await;
+        Ok(())
+    }
+
+    async fn take(&self, head: &Head, text: String) {
+        let revision = head.revision;
+        match check_document(&text) {
+            Ok(document) => {
+                tracing::info!(revision, author = %head.author, "document read");
+                hand_over(&self.driver, revision, document, text).await;
+            }
+            Err(problems) => {
+                let first = first_reason(&problems);
+                tracing::error!(
+                    revision,
+                    problems = problems.len(),
+                    first,
+                    "document refused"
+                );
+            }
+        }
+    }
+
+    fn note_reachable(&mut self, looked: Result<(), DocumentStoreError>) {
+        let is_reachable = looked.is_ok();
+        match looked {
+            Ok(()) if !self.is_reachable => tracing::info!("document store answers again"),
+            Err(error) if self.is_reachable => tracing::warn!(%error, "document not read"),
+            _ => {}
+        }
+        self.is_reachable = is_reachable;
+    }
+}
+
+async fn hand_over(driver: &DriverHandle, revision: u64, document: Document, text: String) {
     let event = Event::DocumentInstalled {
-        revision: FILE_REVISION,
+        revision,
         document: Arc::new(document),
         text: Bytes::from(text),
     };
     driver.send(event).await;
-    Ok(())
 }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -12,6 +12,7 @@
 use almondhead_lib::event::PeerIdentity;
 use almondhead_lib::id::Incarnation;
 use almondhead_lib::session_token::SessionTokens;
+use almondhead_net::DocumentStore;
 use almondhead_net::HttpPlatform;
 use almondhead_net::HttpSettings;
 use almondhead_net::InstanceRole;
@@ -31,6 +32,7 @@
 use crate::claim_queue::ClaimWriter;
 use crate::clock::Clock;
 use crate::document_watch::DocumentFileError;
+use crate::document_watch::DocumentWatch;
 use crate::document_watch::install_file;
 use crate::driver::Command;
 use crate::driver::Driver;
@@ -225,8 +227,14 @@
 async fn start_watches(settings: &Settings, shared: &Shared) -> Result<(), ProcessError> {
     let timer = TimerService::new(shared.clock);
     executor::spawn(wall_clock::report(timer, shared.driver.clone()));
-    if let Some(file) = &settings.document_file {
-        install_file(file, &shared.driver).await?;
+    match &settings.document_file {
+        Some(file) => install_file(file, &shared.driver).await?,
+        None => {
+            let store = DocumentStore::new(Arc::clone(&shared.platform));
+            let watch = DocumentWatch::new(store, shared.driver.clone());
+            let period = Duration::from_millis(settings.platform.document_poll_ms);
+            executor::spawn(watch.run(timer, period));
+        }
     }
     let instance_watch = InstanceWatch {
         own: listed(settings, &shared.identity),
--- a/entry/tests/whole_path.rs
+++ b/entry/tests/whole_path.rs
@@ -1,19 +1,17 @@
 //! A caller's submission through a real entry process to upstreams and back.
 
-mod site;
-
 use almondhead_net::Method;
 use serde_json::Value;
 use serde_json::json;
 
-use crate::site::SERVICE;
-use crate::site::Site;
-use crate::site::Starts;
-use crate::site::TEAM;
-use crate::site::TestResult;
-use crate::site::job;
-use crate::site::json_of;
-use crate::site::with_header;
+use almondhead_testsupport::site::SERVICE;
+use almondhead_testsupport::site::Site;
+use almondhead_testsupport::site::Starts;
+use almondhead_testsupport::site::TEAM;
+use almondhead_testsupport::site::TestResult;
+use almondhead_testsupport::site::job;
+use almondhead_testsupport::site::json_of;
+use almondhead_testsupport::site::with_header;
 
 #[test]
 fn one_task_is_answered_whole() -> TestResult {
@@ -126,7 +124,9 @@
         fault(changed("inputs", json!([1, 2])), "/inputs"),
         fault(changed("urgent", json!(true)), "/urgent"),
         fault(
-            format!("{{\"service\":\"{SERVICE}\",\"service\":\"{SERVICE}\",\"team\":\"{TEAM}\",\"inputs\":[1]}}"),
+            format!(
+                "{{\"service\":\"{SERVICE}\",\"service\":\"{SERVICE}\",\"team\":\"{TEAM}\",\"inputs\":[1]}}"
+            ),
             "/service",
         ),
     ]
--- a/lib/testsupport/src/lib.rs
+++ b/lib/testsupport/src/lib.rs
@@ -10,6 +10,7 @@
 mod raw_server;
 mod request;
 mod server;
+pub mod site;
 mod upstream;
 
 pub use crate::command::listen_address;
--- a/entry/tests/site/mod.rs
+++ b/lib/testsupport/src/site.rs
@@ -1,12 +1,16 @@
-//! A site of real entry processes between stand-ins, for the tests of the entry.
+//! A site of real entry processes between stand-ins.
 
 use std::error::Error;
+use std::ffi::OsStr;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use almondhead_lib::document::Document;
+use almondhead_lib::revision::DOCUMENTS_TABLE;
+use almondhead_lib::revision::HEAD_KEY;
+use almondhead_lib::revision::Head;
+use almondhead_lib::revision::object_name;
 use almondhead_lib::service::Service;
 use almondhead_lib::team::Team;
 use almondhead_lib::upstream::Upstream;
@@ -15,39 +19,56 @@
 use almondhead_net::HttpResponse;
 use almondhead_net::HttpSettings;
 use almondhead_net::Method;
-use almondhead_net::Platform;
 use almondhead_net::header::HeaderName;
 use almondhead_net::header::HeaderValue;
-use almondhead_testsupport::PlatformSettings;
-use almondhead_testsupport::PlatformStandIn;
-use almondhead_testsupport::ProcessHandle;
-use almondhead_testsupport::UpstreamSettings;
-use almondhead_testsupport::UpstreamStandIn;
-use almondhead_testsupport::free_address;
 use serde_json::Value;
 use serde_json::json;
 use tempfile::TempDir;
 
+use crate::platform::PlatformSettings;
+use crate::platform::PlatformStandIn;
+use crate::process::ProcessHandle;
+use crate::process::free_address;
+use crate::process::workspace_binary;
+use crate::upstream::UpstreamSettings;
+use crate::upstream::UpstreamStandIn;
+
+/// What a test returns.
 pub type TestResult = Result<(), Box<dyn Error>>;
 
+/// The one service of a site's document.
 pub const SERVICE: &str = "lookup";
+/// The one team of a site's document.
 pub const TEAM: &str = "agents";
-pub const START_TIMEOUT: Duration = Duration::from_secs(20);
-pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// The data centre in which a site's upstreams stand.
+pub const NORTH: &str = "north";
+/// A data centre without upstreams.
+pub const SOUTH: &str = "south";
+
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// One platform, some upstreams and some entry processes, all on this machine.
 pub struct Site {
+    /// The platform.
     pub platform: PlatformStandIn,
+    /// The upstreams, in the order of the document.
     pub upstreams: Vec<UpstreamStandIn>,
+    /// The entries, in the order of their start.
     pub entries: Vec<Entry>,
+    /// A caller's client.
     pub client: HttpClient,
+    /// Holds the entries' settings.
     pub directory: TempDir,
 }
 
 /// One entry process and where it is reached.
 pub struct Entry {
+    /// The process.
     pub process: ProcessHandle,
+    /// Where callers reach it.
     pub callers: SocketAddr,
+    /// Where operators reach it.
     pub operators: SocketAddr,
 }
 
@@ -57,7 +78,7 @@
         let mut site = Site::without_entries(upstreams).await?;
         let document = site.document();
         site.install(1, &document).await?;
-        site.start_entry("entry-a", "north", json!({})).await?;
+        site.start_entry("entry-a", NORTH, json!({})).await?;
         Ok(site)
     }
 
@@ -87,23 +108,22 @@
 
     /// Puts a document in the platform's store as the head.
     pub async fn install(&self, revision: u64, document: &Document) -> TestResult {
-        let head = json!({
-            "revision": revision,
-            "object": format!("document-{revision}"),
-            "writer_token": "test",
-            "author": "test",
-            "submitted_at_unix_ms": 0,
-            "note": "",
-        });
+        let head = Head {
+            revision,
+            object: object_name(revision, "test"),
+            writer_token: "test".to_owned(),
+            author: "test".to_owned(),
+            submitted_at_unix_ms: 0,
+            note: String::new(),
+        };
         let contents = self.platform.contents();
         let text = serde_json::to_vec(document)?;
-        let object = format!("document-{revision}");
-        contents.put_object(&object, text.into()).await?;
-        let present = contents.read("documents", "head").await?;
+        contents.put_object(&head.object, text.into()).await?;
+        let present = contents.read(DOCUMENTS_TABLE, HEAD_KEY).await?;
         let expected = present.map(|row| row.revision);
         let head = serde_json::to_vec(&head)?;
         contents
-            .compare_and_set("documents", "head", expected, head.into())
+            .compare_and_set(DOCUMENTS_TABLE, HEAD_KEY, expected, head.into())
             .await?;
         Ok(())
     }
@@ -132,8 +152,9 @@
         }
         let file = self.directory.path().join(format!("{name}.jsonc"));
         fs::write(&file, settings.to_string())?;
-        let program = Path::new(env!("CARGO_BIN_EXE_almondhead"));
-        let mut process = ProcessHandle::start(program, ["--settings".as_ref(), file.as_os_str()])?;
+        let program = workspace_binary("almondhead");
+        let mut process =
+            ProcessHandle::start(&program, [OsStr::new("--settings"), file.as_os_str()])?;
         process
             .wait_for_ok(operators, "/readyz", START_TIMEOUT)
             .await?;
@@ -154,10 +175,12 @@
         Ok(session.as_str().ok_or("session is no text")?.to_owned())
     }
 
+    /// A request of a caller to an entry.
     pub fn request(&self, entry: usize, method: Method, path: &str) -> HttpRequest {
         HttpRequest::new(method, self.entries[entry].callers, path)
     }
 
+    /// Sends a request and waits for its whole answer.
     pub async fn send(&self, request: HttpRequest) -> Result<HttpResponse, Box<dyn Error>> {
         Ok(self.client.send(request, REQUEST_TIMEOUT).await?)
     }
@@ -188,7 +211,9 @@
 /// What the upstreams' records say.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Starts {
+    /// Tasks that started at all.
     pub tasks: usize,
+    /// The most starts of one task.
     pub most_of_one: u64,
 }
 
@@ -214,23 +239,26 @@
 
 /// A document of one service whose upstreams stand in the data centre `north`.
 pub fn document(addresses: &[SocketAddr]) -> Document {
-    let upstreams = addresses.iter().enumerate().map(|(index, address)| Upstream {
-        name: format!("upstream-{index}"),
-        data_centre: "north".to_owned(),
-        rack: String::new(),
-        service: SERVICE.to_owned(),
-        address: *address,
-        slots: 8,
-        connections: 64,
-        cores: 16,
-        memory_mib: 65_536,
-        accelerators: 0,
-        leaves_at_unix_ms: None,
-    });
+    let upstreams = addresses
+        .iter()
+        .enumerate()
+        .map(|(index, address)| Upstream {
+            name: format!("upstream-{index}"),
+            data_centre: NORTH.to_owned(),
+            rack: String::new(),
+            service: SERVICE.to_owned(),
+            address: *address,
+            slots: 8,
+            connections: 64,
+            cores: 16,
+            memory_mib: 65_536,
+            accelerators: 0,
+            leaves_at_unix_ms: None,
+        });
     let data_centre = |name: &str| serde_json::from_value(json!({ "name": name }));
     Document {
         firm: "tests".to_owned(),
-        data_centres: ["north", "south"]
+        data_centres: [NORTH, SOUTH]
             .into_iter()
             .filter_map(|name| data_centre(name).ok())
             .collect(),
