--- /dev/null
+++ b/lib/benches/policies.rs
@@ -0,0 +1,2 @@
+//! Costs of the policies, at several sizes.
+fn main() {}
--- a/lib/src/ordered_jobs.rs
+++ b/lib/src/ordered_jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs in the order of a rank, equal ranks in order of arrival.
+//! Jobs in the order of their places.
 
 use std::collections::BTreeSet;
 
@@ -14,45 +14,43 @@
     pub(crate) arrival: u64,
 }
 
+/// A job and its place.
+#[key]
+pub(crate) struct PlacedJob {
+    pub(crate) place: Place,
+    pub(crate) job: JobKey,
+}
+
 /// A set of jobs in order of their places, with logarithmic operations.
 #[derive(Debug, Default)]
 pub(crate) struct OrderedJobs {
-    order: BTreeSet<(Place, JobKey)>,
+    order: BTreeSet<PlacedJob>,
     places: SecondaryMap<JobKey, Place>,
-    arrivals: u64,
 }
 
 impl OrderedJobs {
-    /// Adds a job at the end of those of equal rank; a job already held moves there.
-    pub(crate) fn insert(&mut self, job: JobKey, rank: u64) {
+    /// Adds a job, or moves one already held.
+    pub(crate) fn insert(&mut self, job: JobKey, place: Place) {
         self.remove(job);
-        self.arrivals += 1;
-        let place = Place {
-            rank,
-            arrival: self.arrivals,
-        };
         self.places.insert(job, place);
-        self.order.insert((place, job));
+        self.order.insert(PlacedJob { place, job });
     }
 
     /// Takes a job out.
     pub(crate) fn remove(&mut self, job: JobKey) {
         if let Some(place) = self.places.remove(job) {
-            self.order.remove(&(place, job));
+            self.order.remove(&PlacedJob { place, job });
         }
     }
 
-    /// The first of at most `limit` jobs that `fits`.
-    pub(crate) fn first_fitting(
-        &self,
-        limit: usize,
-        fits: &mut dyn FnMut(JobKey) -> bool,
-    ) -> Option<JobKey> {
-        self.order
-            .iter()
-            .take(limit)
-            .map(|(_, job)| *job)
-            .find(|job| fits(*job))
+    /// The first job in order.
+    pub(crate) fn first(&self) -> Option<PlacedJob> {
+        self.order.first().copied()
+    }
+
+    /// The jobs in order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = PlacedJob> {
+        self.order.iter().copied()
     }
 
     /// How many jobs are held.
--- /dev/null
+++ b/lib/src/ordered_queue.rs
@@ -0,0 +1,82 @@
+//! Jobs in one fixed order, whatever their team and size.
+
+use std::time::Duration;
+
+use crate::keys::JobKey;
+use crate::keys::TeamKey;
+use crate::ordered_jobs::OrderedJobs;
+use crate::ordered_jobs::Place;
+use crate::queue::JobQueue;
+use crate::queue::QueueEntry;
+use crate::queue::SCAN_LIMIT;
+use crate::time::Timestamp;
+
+/// What a job's place in the order is.
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    Arrival,
+    Deadline,
+}
+
+/// Serves jobs in order of arrival or of their deadlines.
+#[derive(Debug)]
+pub struct OrderedQueue {
+    order: Order,
+    jobs: OrderedJobs,
+    arrivals: u64,
+}
+
+impl OrderedQueue {
+    /// A queue in order of arrival.
+    pub fn fifo() -> Self {
+        Self::new(Order::Arrival)
+    }
+
+    /// A queue by the earliest deadline, equal deadlines in order of arrival.
+    pub fn earliest_deadline() -> Self {
+        Self::new(Order::Deadline)
+    }
+
+    fn new(order: Order) -> Self {
+        OrderedQueue {
+            order,
+            jobs: OrderedJobs::default(),
+            arrivals: 0,
+        }
+    }
+}
+
+impl JobQueue for OrderedQueue {
+    fn insert(&mut self, now: Timestamp, entry: QueueEntry) {
+        let rank = match self.order {
+            Order::Arrival => now,
+            Order::Deadline => entry.deadline,
+        };
+        self.arrivals += 1;
+        let place = Place {
+            rank: rank.as_us(),
+            arrival: self.arrivals,
+        };
+        self.jobs.insert(entry.job, place);
+    }
+
+    fn update(&mut self, _job: JobKey, _remaining: u32) {}
+
+    fn remove(&mut self, job: JobKey) {
+        self.jobs.remove(job);
+    }
+
+    fn next(&mut self, _now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
+        self.jobs
+            .iter()
+            .take(SCAN_LIMIT)
+            .map(|placed| placed.job)
+            .find(|job| fits(*job))
+    }
+
+    fn charge(&mut self, _team: TeamKey, _weight: u32, _cost: Duration) {}
+
+    fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+}
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -5,11 +5,10 @@
 
 use almondhead_macros::value;
 
-use crate::deadline_queue::DeadlineQueue;
 use crate::fair_queue::FairQueue;
-use crate::fifo_queue::FifoQueue;
 use crate::keys::JobKey;
 use crate::keys::TeamKey;
+use crate::ordered_queue::OrderedQueue;
 use crate::policies::QueuePolicy;
 use crate::time::Timestamp;
 
@@ -61,7 +60,7 @@
 pub fn queue_for(policy: QueuePolicy) -> Box<dyn JobQueue> {
     match policy {
         QueuePolicy::FairFewestRemaining => Box::new(FairQueue::default()),
-        QueuePolicy::Fifo => Box::new(FifoQueue::default()),
-        QueuePolicy::EarliestDeadline => Box::new(DeadlineQueue::default()),
+        QueuePolicy::Fifo => Box::new(OrderedQueue::fifo()),
+        QueuePolicy::EarliestDeadline => Box::new(OrderedQueue::earliest_deadline()),
     }
 }
--- /dev/null
+++ b/lib/tests/queue_order.rs
@@ -0,0 +1,290 @@
+//! The orders of the queue.
+
+use std::time::Duration;
+
+use almondhead_lib::fair_queue::FairQueue;
+use almondhead_lib::fair_queue::FairSettings;
+use almondhead_lib::keys::JobKey;
+use almondhead_lib::keys::TeamKey;
+use almondhead_lib::policies::QueuePolicy;
+use almondhead_lib::queue::JobQueue;
+use almondhead_lib::queue::QueueEntry;
+use almondhead_lib::queue::SCAN_LIMIT;
+use almondhead_lib::queue::queue_for;
+use almondhead_lib::time::Timestamp;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slotmap::SlotMap;
+
+const POLICIES: [QueuePolicy; 3] = [
+    QueuePolicy::FairFewestRemaining,
+    QueuePolicy::Fifo,
+    QueuePolicy::EarliestDeadline,
+];
+
+struct Keys {
+    jobs: SlotMap<JobKey, ()>,
+    teams: SlotMap<TeamKey, ()>,
+}
+
+impl Keys {
+    fn new() -> Self {
+        Keys {
+            jobs: SlotMap::with_key(),
+            teams: SlotMap::with_key(),
+        }
+    }
+
+    fn team(&mut self) -> TeamKey {
+        self.teams.insert(())
+    }
+
+    fn entry(&mut self, team: TeamKey, remaining: u32, deadline_us: u64) -> QueueEntry {
+        QueueEntry {
+            job: self.jobs.insert(()),
+            team,
+            weight: 1,
+            remaining,
+            deadline: Timestamp::from_us(deadline_us),
+        }
+    }
+}
+
+fn any(_: JobKey) -> bool {
+    true
+}
+
+fn fewest_first() -> FairQueue {
+    FairQueue::new(FairSettings {
+        oldest_every: 0,
+        ..FairSettings::default()
+    })
+}
+
+#[test]
+fn each_policy_has_its_order() {
+    // Remaining tasks and deadline of three jobs in order of arrival, and which goes first.
+    let jobs = [(5, 900), (1, 700), (3, 500)];
+    let cases = [
+        (QueuePolicy::FairFewestRemaining, 1),
+        (QueuePolicy::Fifo, 0),
+        (QueuePolicy::EarliestDeadline, 2),
+    ];
+    for (policy, expected) in cases {
+        let mut keys = Keys::new();
+        let team = keys.team();
+        let entries = jobs.map(|(remaining, deadline_us)| keys.entry(team, remaining, deadline_us));
+        let mut queue = queue_for(policy);
+        for (at_us, entry) in (0..).zip(entries) {
+            queue.insert(Timestamp::from_us(at_us), entry);
+        }
+        let first = queue.next(Timestamp::from_us(10), &mut any);
+        assert_eq!(first, Some(entries[expected].job), "{policy:?}");
+    }
+}
+
+#[test]
+fn update_moves_a_job() {
+    let mut keys = Keys::new();
+    let team = keys.team();
+    let large = keys.entry(team, 10, 1_000);
+    let small = keys.entry(team, 5, 1_000);
+    let mut queue = fewest_first();
+    queue.insert(Timestamp::ZERO, large);
+    queue.insert(Timestamp::ZERO, small);
+    assert_eq!(queue.next(Timestamp::ZERO, &mut any), Some(small.job));
+    queue.update(large.job, 4);
+    assert_eq!(queue.next(Timestamp::ZERO, &mut any), Some(large.job));
+}
+
+#[test]
+fn removed_jobs_are_gone() {
+    for policy in POLICIES {
+        let mut keys = Keys::new();
+        let team = keys.team();
+        let entry = keys.entry(team, 1, 1_000);
+        let mut queue = queue_for(policy);
+        queue.insert(Timestamp::ZERO, entry);
+        queue.insert(Timestamp::ZERO, entry);
+        assert_eq!(queue.jobs(), 1, "{policy:?}");
+        queue.remove(entry.job);
+        queue.remove(entry.job);
+        queue.update(entry.job, 1);
+        assert_eq!(queue.jobs(), 0, "{policy:?}");
+        assert_eq!(queue.next(Timestamp::ZERO, &mut any), None, "{policy:?}");
+    }
+}
+
+#[test]
+fn scan_is_bounded() {
+    for policy in POLICIES {
+        let mut keys = Keys::new();
+        let team = keys.team();
+        let mut queue = queue_for(policy);
+        for _ in 0..10 * SCAN_LIMIT {
+            let entry = keys.entry(team, 1, 1_000);
+            queue.insert(Timestamp::ZERO, entry);
+        }
+        let mut offered = 0;
+        let found = queue.next(Timestamp::ZERO, &mut |_| {
+            offered += 1;
+            false
+        });
+        assert_eq!(found, None, "{policy:?}");
+        assert!(offered <= SCAN_LIMIT + 1, "{policy:?}: {offered}");
+    }
+}
+
+#[test]
+fn a_job_that_does_not_fit_is_passed() {
+    for policy in POLICIES {
+        let mut keys = Keys::new();
+        let teams = [keys.team(), keys.team()];
+        let first = keys.entry(teams[0], 1, 1_000);
+        let second = keys.entry(teams[1], 2, 2_000);
+        let mut queue = queue_for(policy);
+        queue.insert(Timestamp::ZERO, first);
+        queue.insert(Timestamp::ZERO, second);
+        let found = queue.next(Timestamp::ZERO, &mut |job| job != first.job);
+        assert_eq!(found, Some(second.job), "{policy:?}");
+    }
+}
+
+/// A team with an endless job, and the starts it is due.
+#[derive(Debug)]
+struct Share {
+    weight: u32,
+    remaining: u32,
+    starts: usize,
+}
+
+const fn share(weight: u32, remaining: u32, starts: usize) -> Share {
+    Share {
+        weight,
+        remaining,
+        starts,
+    }
+}
+
+fn starts_by_team(shares: &[Share]) -> Vec<usize> {
+    let mut keys = Keys::new();
+    let mut queue = FairQueue::default();
+    let mut entries = Vec::new();
+    for share in shares {
+        let team = keys.team();
+        let mut entry = keys.entry(team, share.remaining, 1_000_000);
+        entry.weight = share.weight;
+        queue.insert(Timestamp::ZERO, entry);
+        entries.push(entry);
+    }
+    let mut counts = vec![0; shares.len()];
+    for _ in 0..shares.iter().map(|share| share.starts).sum::<usize>() {
+        let job = queue.next(Timestamp::ZERO, &mut any).expect("jobs wait");
+        let index = entries.iter().position(|entry| entry.job == job);
+        let index = index.expect("the job is one of ours");
+        counts[index] += 1;
+        let entry = entries[index];
+        queue.charge(entry.team, entry.weight, Duration::from_millis(100));
+    }
+    counts
+}
+
+#[test]
+fn teams_share_by_weight() {
+    let cases: [&[Share]; 3] = [
+        &[share(1, 1, 3_000), share(1, 480, 3_000)],
+        &[share(100, 1, 2_000), share(200, 480, 4_000)],
+        &[share(1, 1, 1_000), share(2, 1, 2_000), share(3, 1, 3_000)],
+    ];
+    for shares in cases {
+        let counts = starts_by_team(shares);
+        for (count, share) in counts.iter().zip(shares) {
+            let off = count.abs_diff(share.starts);
+            assert!(off <= 40, "{shares:?}: {counts:?}");
+        }
+    }
+}
+
+#[test]
+fn an_idle_team_saves_nothing_up() {
+    let mut keys = Keys::new();
+    let teams = [keys.team(), keys.team()];
+    let mut queue = fewest_first();
+    let busy = keys.entry(teams[0], 1, 1_000);
+    queue.insert(Timestamp::ZERO, busy);
+    for _ in 0..1_000 {
+        queue.next(Timestamp::ZERO, &mut any);
+        queue.charge(teams[0], 1, Duration::from_millis(100));
+    }
+    let back = keys.entry(teams[1], 2, 1_000);
+    queue.insert(Timestamp::ZERO, back);
+    let mut starts_of_back = 0;
+    for _ in 0..100 {
+        let job = queue.next(Timestamp::ZERO, &mut any);
+        let is_back = job == Some(back.job);
+        starts_of_back += usize::from(is_back);
+        queue.charge(teams[usize::from(is_back)], 1, Duration::from_millis(100));
+    }
+    assert!((40..=60).contains(&starts_of_back), "{starts_of_back}");
+}
+
+#[test]
+fn no_job_starves() {
+    let mut keys = Keys::new();
+    let team = keys.team();
+    let mut queue = FairQueue::default();
+    let large = keys.entry(team, 480, 1_000_000);
+    queue.insert(Timestamp::ZERO, large);
+    let mut starts = 0;
+    let mut left = 480;
+    while left > 0 {
+        let single = keys.entry(team, 1, 1_000_000);
+        queue.insert(Timestamp::ZERO, single);
+        let job = queue.next(Timestamp::ZERO, &mut any).expect("jobs wait");
+        starts += 1;
+        if job == large.job {
+            left -= 1;
+        } else {
+            queue.remove(job);
+        }
+        queue.charge(team, 1, Duration::from_millis(100));
+        assert!(starts <= 480 * 17, "{left} tasks left");
+    }
+}
+
+#[test]
+fn random_use_keeps_count() {
+    let mut rng = StdRng::seed_from_u64(7);
+    for policy in POLICIES {
+        let mut keys = Keys::new();
+        let teams: Vec<TeamKey> = (0..5).map(|_| keys.team()).collect();
+        let mut queue = queue_for(policy);
+        let mut held: Vec<QueueEntry> = Vec::new();
+        for step in 0..5_000 {
+            let now = Timestamp::from_us(step);
+            match rng.random_range(0..4) {
+                0 | 1 => {
+                    let team = teams[rng.random_range(0..teams.len())];
+                    let entry = keys.entry(team, rng.random_range(1..480), step + 1_000);
+                    queue.insert(now, entry);
+                    held.push(entry);
+                }
+                2 if !held.is_empty() => {
+                    let entry = held[rng.random_range(0..held.len())];
+                    queue.update(entry.job, rng.random_range(1..480));
+                }
+                _ => {
+                    let found = queue.next(now, &mut any);
+                    assert_eq!(found.is_some(), !held.is_empty(), "{policy:?}");
+                    let Some(job) = found else { continue };
+                    let index = held.iter().position(|entry| entry.job == job);
+                    let entry = held.swap_remove(index.expect("the job is held"));
+                    queue.charge(entry.team, 1, Duration::from_millis(50));
+                    queue.remove(job);
+                }
+            }
+            assert_eq!(queue.jobs(), held.len(), "{policy:?}");
+        }
+    }
+}
