queue: weigh teams by recent service to jobs of the same size or smaller

A job is now put back by the square of its team's share of the service of the last seconds, counting only service to jobs no larger than itself.

--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -1,4 +1,4 @@
-//! Teams by their fair share, then the job with the fewest remaining tasks, with ageing.
+//! The job with the fewest remaining tasks, with fair shares for teams and ageing.
 
 use std::time::Duration;
 
@@ -13,20 +13,27 @@
 use crate::queue::QueueEntry;
 use crate::queue::SCAN_LIMIT;
 use crate::team_share::TeamShare;
+use crate::team_usage::SizeClass;
 use crate::time::Timestamp;
 
-/// The run time by which a team may be ahead of the one furthest behind, at equal weights.
-pub const SHARE_LAG: Duration = Duration::from_secs(1);
+/// The tasks by which a team's jobs are put back when it has had all recent service.
+pub const FULL_SHARE_PENALTY_TASKS: u32 = 4_000;
 
 /// Every how many starts the job that waits longest goes first.
 pub const OLDEST_EVERY: u32 = 16;
 
+/// The time in which the memory of service falls to a factor of 1/e.
+const USAGE_DECAY: Duration = Duration::from_secs(2);
+
+/// The time between two steps of that decay.
+const DECAY_STEP: Duration = Duration::from_millis(40);
+
 /// How much a [`FairQueue`] gives up of one order for another.
 #[value]
 #[derive(Copy)]
 pub struct FairSettings {
-    /// The run time by which a team may be ahead of the one furthest behind, at equal weights.
-    pub share_lag: Duration,
+    /// The tasks by which a team's jobs are put back when it has had all recent service.
+    pub full_share_penalty_tasks: u32,
     /// Every how many starts the job that waits longest goes first; zero for never.
     pub oldest_every: u32,
 }
@@ -34,7 +41,7 @@
 impl Default for FairSettings {
     fn default() -> Self {
         FairSettings {
-            share_lag: SHARE_LAG,
+            full_share_penalty_tasks: FULL_SHARE_PENALTY_TASKS,
             oldest_every: OLDEST_EVERY,
         }
     }
@@ -47,20 +54,22 @@
     arrival: u64,
 }
 
-/// Serves the job with the fewest remaining tasks among the teams that are within their share.
+/// Serves the job with the fewest remaining tasks, put back by what its team was served of late.
 ///
-/// Each team carries a virtual time: the run time it was charged, divided by its weight. Teams
-/// within [`FairSettings::share_lag`] of the lowest one compete by remaining tasks alone; a team
-/// further ahead is served only when nothing of the others fits.
+/// A job counts as larger than it is by the square of its team's share of the recent service, each
+/// share divided by the team's weight. Only service to jobs of this size and smaller ones is
+/// counted, so a team's large jobs do not hold up its small ones, and a team that floods with
+/// small jobs falls behind the others' large ones.
 ///
-/// One start in [`FairSettings::oldest_every`] goes to the job of those teams that arrived first,
-/// so no job starves, and the rest of the starts are not slowed down by jobs that wait long.
+/// One start in [`FairSettings::oldest_every`] goes to the job that arrived first, so no job
+/// starves, and the rest of the starts are not slowed down by jobs that wait long.
 #[derive(Debug, Default)]
 pub struct FairQueue {
     settings: FairSettings,
     jobs: SecondaryMap<JobKey, QueuedJob>,
     teams: SecondaryMap<TeamKey, TeamShare>,
-    floor_us: u64,
+    served_us: f64,
+    decayed_at: Timestamp,
     arrivals: u64,
     starts: u32,
 }
@@ -74,70 +83,72 @@
         }
     }
 
-    /// Lifts the floor to the lowest virtual time among teams with queued jobs.
-    fn raise_floor(&mut self) {
-        let lowest_us = self
-            .teams
-            .values()
-            .filter(|team| team.is_active())
-            .map(|team| team.virtual_us)
-            .min();
-        self.floor_us = self.floor_us.max(lowest_us.unwrap_or(0));
-    }
-
-    /// The virtual time up to which a team is within its share.
-    fn limit_us(&self) -> u64 {
-        let lag_us = u64::try_from(self.settings.share_lag.as_micros()).unwrap_or(u64::MAX);
-        self.floor_us.saturating_add(lag_us)
+    /// Lets the memory of service fade up to `now`.
+    fn decay(&mut self, now: Timestamp) {
+        let elapsed = now.since(self.decayed_at);
+        if elapsed < DECAY_STEP {
+            return;
+        }
+        let factor = (-elapsed.as_secs_f64() / USAGE_DECAY.as_secs_f64()).exp();
+        for team in self.teams.values_mut() {
+            team.usage.decay(factor);
+        }
+        self.served_us *= factor;
+        self.decayed_at = now;
     }
 
-    /// The mean weight of the teams seen, which makes the lag independent of the weights' scale.
-    fn mean_weight(&self) -> u64 {
-        let count = self.teams.len().max(1) as u64;
-        let total: u64 = self.teams.values().map(|team| u64::from(team.weight)).sum();
-        (total / count).max(1)
+    /// The mean weight of the teams seen, by which the weights' scale cancels out.
+    fn mean_weight(&self) -> f64 {
+        let total: f64 = self.teams.values().map(|team| f64::from(team.weight)).sum();
+        total / self.teams.len().max(1) as f64
     }
 
-    /// Whether this start is one for the job that waits longest.
-    fn is_turn_of_oldest(&self) -> bool {
-        self.starts != 0 && self.starts.is_multiple_of(self.settings.oldest_every)
+    /// The place of a team's job among the jobs of all teams.
+    fn put_back(&self, team: &TeamShare, placed: PlacedJob) -> PlacedJob {
+        let class = SizeClass::of(placed.place.rank);
+        let share = team.usage.up_to_us(class) / self.served_us.max(1.0);
+        let penalty = share * share * f64::from(self.settings.full_share_penalty_tasks);
+        let place = Place {
+            rank: placed.place.rank.saturating_add(penalty as u64),
+            ..placed.place
+        };
+        PlacedJob { place, ..placed }
     }
 
-    /// The job that arrived first, among teams within their share.
-    fn oldest(&self) -> Option<JobKey> {
-        let limit_us = self.limit_us();
-        self.teams
-            .values()
-            .filter(|team| team.virtual_us <= limit_us)
-            .filter_map(TeamShare::oldest)
-            .min()
-            .map(|oldest| oldest.job)
+    /// The job that arrived first, when this start is one for it.
+    fn oldest_in_turn(&self) -> Option<JobKey> {
+        if self.starts == 0 || !self.starts.is_multiple_of(self.settings.oldest_every) {
+            return None;
+        }
+        let oldest = self.teams.values().filter_map(TeamShare::oldest).min()?;
+        Some(oldest.job)
     }
 
-    /// The job with the fewest remaining tasks, those of teams within their share before others.
-    fn fewest(&self) -> Option<PlacedJob> {
-        let limit_us = self.limit_us();
+    /// The first job in order, apart from turns of the oldest.
+    fn first(&self) -> Option<JobKey> {
         self.teams
             .values()
-            .filter_map(|team| Some((team.virtual_us > limit_us, team.fewest()?)))
+            .filter_map(|team| Some(self.put_back(team, team.fewest()?)))
             .min()
-            .map(|(_, placed)| placed)
+            .map(|placed| placed.job)
     }
 
-    /// The first of at most [`SCAN_LIMIT`] jobs that `fits`, in the order of [`Self::fewest`].
+    /// The first of at most [`SCAN_LIMIT`] jobs that `fits`, in the order of [`Self::first`].
     fn scan(&self, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
-        let limit_us = self.limit_us();
         let mut cursors: Vec<_> = self
             .teams
             .values()
-            .filter(|team| team.is_active())
-            .map(|team| (team.virtual_us > limit_us, team.jobs().peekable()))
+            .filter(|team| team.fewest().is_some())
+            .map(|team| {
+                let jobs = team.jobs().map(|placed| self.put_back(team, placed));
+                jobs.peekable()
+            })
             .collect();
         for _ in 0..SCAN_LIMIT {
             let (_, cursor) = cursors
                 .iter_mut()
-                .filter_map(|(ahead, cursor)| Some(((*ahead, *cursor.peek()?), cursor)))
-                .min_by_key(|(order, _)| *order)?;
+                .filter_map(|cursor| Some((*cursor.peek()?, cursor)))
+                .min_by_key(|(placed, _)| *placed)?;
             let job = cursor.next()?.job;
             if fits(job) {
                 return Some(job);
@@ -148,24 +159,22 @@
 
     /// The first job that `fits`, whoever's turn it is.
     fn first_fitting(&self, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
-        if self.is_turn_of_oldest() {
-            let oldest = self.oldest()?;
-            if fits(oldest) {
-                return Some(oldest);
-            }
+        if let Some(oldest) = self.oldest_in_turn()
+            && fits(oldest)
+        {
+            return Some(oldest);
         }
-        let fewest = self.fewest()?;
-        if fits(fewest.job) {
-            return Some(fewest.job);
+        let first = self.first()?;
+        if fits(first) {
+            return Some(first);
         }
-        self.scan(&mut |job| job != fewest.job && fits(job))
+        self.scan(&mut |job| job != first && fits(job))
     }
 }
 
 impl JobQueue for FairQueue {
     fn insert(&mut self, _now: Timestamp, entry: QueueEntry) {
         self.remove(entry.job);
-        self.raise_floor();
         self.arrivals += 1;
         let place = Place {
             rank: u64::from(entry.remaining),
@@ -175,8 +184,8 @@
             self.teams.insert(entry.team, TeamShare::default());
         }
         let team = &mut self.teams[entry.team];
-        team.weight = entry.weight;
-        team.insert(entry.job, place, self.floor_us);
+        team.weight = entry.weight.max(1);
+        team.insert(entry.job, place);
         let queued = QueuedJob {
             team: entry.team,
             arrival: self.arrivals,
@@ -202,21 +211,23 @@
         self.teams[queued.team].remove(job);
     }
 
-    fn next(&mut self, _now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
-        self.raise_floor();
+    fn next(&mut self, now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
+        self.decay(now);
         let job = self.first_fitting(fits)?;
         self.starts = self.starts.wrapping_add(1);
+        let team = self.jobs[job].team;
+        self.teams[team].note_start(job);
         Some(job)
     }
 
     fn charge(&mut self, team: TeamKey, weight: u32, cost: Duration) {
-        let mean_weight = self.mean_weight();
-        let limit_us = self.limit_us();
-        let cost_us = u64::try_from(cost.as_micros()).unwrap_or(u64::MAX);
-        let share_us = cost_us.saturating_mul(mean_weight) / u64::from(weight.max(1));
-        if let Some(team) = self.teams.get_mut(team) {
-            team.charge(share_us, limit_us);
-        }
+        let relative_weight = f64::from(weight.max(1)) / self.mean_weight().max(1.0);
+        let share_us = cost.as_secs_f64() * 1e6 / relative_weight;
+        let Some(team) = self.teams.get_mut(team) else {
+            return;
+        };
+        team.charge(share_us);
+        self.served_us += share_us;
     }
 
     fn jobs(&self) -> usize {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -41,5 +41,6 @@
 pub mod target;
 pub mod team;
 mod team_share;
+mod team_usage;
 pub mod time;
 pub mod upstream;
--- a/lib/src/ordered_jobs.rs
+++ b/lib/src/ordered_jobs.rs
@@ -53,6 +53,11 @@
         self.order.iter().copied()
     }
 
+    /// The place of a job.
+    pub(crate) fn place(&self, job: JobKey) -> Option<Place> {
+        self.places.get(job).copied()
+    }
+
     /// How many jobs are held.
     pub(crate) fn len(&self) -> usize {
         self.order.len()
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -50,6 +50,8 @@
     fn next(&mut self, now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey>;
 
     /// Counts `cost`, the estimated run time of a task that starts, against its team's share.
+    ///
+    /// To be called with each start, after [`Self::next`] gave the task's job.
     fn charge(&mut self, team: TeamKey, weight: u32, cost: Duration);
 
     /// How many jobs are queued.
--- a/lib/src/team_share.rs
+++ b/lib/src/team_share.rs
@@ -4,12 +4,15 @@
 use crate::ordered_jobs::OrderedJobs;
 use crate::ordered_jobs::Place;
 use crate::ordered_jobs::PlacedJob;
+use crate::team_usage::SizeClass;
+use crate::team_usage::TeamUsage;
 
-/// A team's queued jobs in two orders, and the run time charged to it.
+/// A team's queued jobs in two orders, and the service it had of late.
 #[derive(Debug, Default)]
 pub(crate) struct TeamShare {
     pub(crate) weight: u32,
-    pub(crate) virtual_us: u64,
+    pub(crate) usage: TeamUsage,
+    last_started: SizeClass,
     by_remaining: OrderedJobs,
     by_arrival: OrderedJobs,
     fewest: Option<PlacedJob>,
@@ -17,13 +20,8 @@
 }
 
 impl TeamShare {
-    /// Adds a job; a team without jobs comes back no lower than `floor_us`.
-    ///
-    /// So a team gathers no claim on later service while it asks for none.
-    pub(crate) fn insert(&mut self, job: JobKey, place: Place, floor_us: u64) {
-        if !self.is_active() {
-            self.virtual_us = self.virtual_us.max(floor_us);
-        }
+    /// Adds a job, whose rank is its remaining tasks.
+    pub(crate) fn insert(&mut self, job: JobKey, place: Place) {
         let arrived = Place {
             rank: place.arrival,
             ..place
@@ -47,18 +45,16 @@
         self.oldest = self.by_arrival.first();
     }
 
-    /// Counts service against the team while it is within `limit_us`.
-    ///
-    /// Beyond that it was served because nothing of the others fitted, which is free.
-    pub(crate) fn charge(&mut self, share_us: u64, limit_us: u64) {
-        if self.virtual_us <= limit_us {
-            self.virtual_us = self.virtual_us.saturating_add(share_us);
+    /// Notes that a task of `job` starts, whose cost is charged next.
+    pub(crate) fn note_start(&mut self, job: JobKey) {
+        if let Some(place) = self.by_remaining.place(job) {
+            self.last_started = SizeClass::of(place.rank);
         }
     }
 
-    /// Whether the team has queued jobs.
-    pub(crate) fn is_active(&self) -> bool {
-        self.fewest.is_some()
+    /// Counts service to the job that started last.
+    pub(crate) fn charge(&mut self, served_us: f64) {
+        self.usage.add(self.last_started, served_us);
     }
 
     /// The job with the fewest remaining tasks.
