--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -62,4 +62,3 @@
 pub use crate::upstream_client::TASK_ID;
 pub use crate::upstream_client::TASK_NOT_RUN;
 pub use crate::upstream_client::TASK_TIMEOUT_MS;
-//! Placeholder.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod estimated_finish;
 pub mod event;
 pub mod fair_queue;
-pub mod fifo_queue;
 mod forward_table;
 mod forwarding;
 mod gossip;
@@ -47,6 +46,8 @@
 pub mod peer_codec;
 pub mod peer_envelope;
 pub mod peer_message;
+#[allow(clippy::all, missing_docs, unreachable_pub)]
+#[rustfmt::skip]
 pub mod peer_proto;
 mod pending_claim;
 mod plan;
@@ -80,6 +81,3 @@
 pub mod timer;
 pub mod upstream;
 mod upstream_state;
-
-#[allow(clippy::all, missing_docs, unreachable_pub)]
-#[rustfmt::skip]
