--- a/net/tests/http_faults.rs
+++ b/net/tests/http_faults.rs
@@ -20,7 +20,7 @@
 use almondhead_testsupport::free_address;
 
 const TIMEOUT: Duration = Duration::from_millis(400);
-const BODY_LIMIT_BYTES: usize = 1_000;
+const BODY_LIMIT_BYTES: usize = 12;
 
 fn settings(protocol: Protocol) -> HttpSettings {
     HttpSettings {
@@ -49,50 +49,69 @@
     answer: &'static str,
     close: bool,
     step: Step,
+    /// What the error says.
+    says: &'static str,
 }
 
-const ANSWER_CASES: [AnswerCase; 7] = [
+const ANSWER_CASES: [AnswerCase; 8] = [
     AnswerCase {
         name: "closed without an answer",
         answer: "",
         close: true,
         step: Step::Exchange,
+        says: "closed",
     },
     AnswerCase {
         name: "head cut",
         answer: "HTTP/1.1 200 OK\r\nContent-Le",
         close: true,
         step: Step::Exchange,
+        says: "closed",
     },
     AnswerCase {
         name: "not HTTP",
         answer: "220 mail.example ESMTP\r\n\r\n",
         close: false,
         step: Step::Exchange,
+        says: "HTTP",
     },
     AnswerCase {
         name: "body cut",
         answer: "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
         close: true,
         step: Step::ReadBody,
+        says: "body",
     },
     AnswerCase {
         name: "chunked body cut",
         answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
         close: true,
         step: Step::ReadBody,
+        says: "body",
     },
     AnswerCase {
         name: "body that ends with the connection",
         answer: "HTTP/1.1 200 OK\r\n\r\nabc",
         close: true,
         step: Step::ReadBody,
+        says: "no stated length",
+    },
+    AnswerCase {
+        name: "chunked body above the limit",
+        answer: concat!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "a\r\n0123456789\r\na\r\n0123456789\r\n",
+        ),
+        close: false,
+        step: Step::ReadBody,
+        says: "longer than 12 bytes",
     },
     AnswerCase {
         name: "body above the limit",
-        answer: "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
+        answer: "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n",
         close: false,
         step: Step::ReadBody,
+        says: "longer than 12 bytes",
     },
 ];
 
@@ -108,6 +127,8 @@
                 "{}: {error}",
                 case.name
             );
+            let text = error.to_string();
+            assert!(text.contains(case.says), "{}: {text}", case.name);
             assert_eq!(server.heads().len(), 1, "{}", case.name);
         }
     });
@@ -236,7 +257,8 @@
             let client = HttpClient::new(HttpSettings {
                 connections: 1,
                 streams: 1,
-                ..settings(protocol)
+                protocol,
+                ..HttpSettings::default()
             });
             let request = task(upstream.address()).with_body(r#"{"run_ms":1000}"#);
             let first = client.send(request, 3 * TIMEOUT);
