--- a/lib/testsupport/tests/upstream_faults.rs
+++ b/lib/testsupport/tests/upstream_faults.rs
@@ -40,7 +40,7 @@
     counter: fn(&UpstreamCounters) -> u64,
 }
 
-fn cases() -> Vec<Case> {
+fn answered_cases() -> Vec<Case> {
     let none = UpstreamFaults::default();
     vec![
         Case {
@@ -60,26 +60,6 @@
             starts: 1,
             counter: |counters| counters.failed,
         },
-        Case {
-            name: "loses the answer",
-            faults: UpstreamFaults {
-                lose_answer: true,
-                ..none.clone()
-            },
-            status: None,
-            starts: 1,
-            counter: |counters| counters.lost_answers,
-        },
-        Case {
-            name: "cuts the body",
-            faults: UpstreamFaults {
-                cut_body: true,
-                ..none.clone()
-            },
-            status: None,
-            starts: 1,
-            counter: |counters| counters.cut_bodies,
-        },
         Case {
             name: "answers with another's id",
             faults: UpstreamFaults {
@@ -114,7 +94,7 @@
             name: "refuses all",
             faults: UpstreamFaults {
                 refuse_all: true,
-                ..none
+                ..none.clone()
             },
             status: Some(503),
             starts: 0,
@@ -123,10 +103,36 @@
     ]
 }
 
+fn broken_cases() -> Vec<Case> {
+    let none = UpstreamFaults::default();
+    vec![
+        Case {
+            name: "loses the answer",
+            faults: UpstreamFaults {
+                lose_answer: true,
+                ..none.clone()
+            },
+            status: None,
+            starts: 1,
+            counter: |counters| counters.lost_answers,
+        },
+        Case {
+            name: "cuts the body",
+            faults: UpstreamFaults {
+                cut_body: true,
+                ..none.clone()
+            },
+            status: None,
+            starts: 1,
+            counter: |counters| counters.cut_bodies,
+        },
+    ]
+}
+
 #[test]
 fn each_fault_happens_and_is_counted() {
     smol::block_on(async {
-        for case in cases() {
+        for case in answered_cases().into_iter().chain(broken_cases()) {
             let upstream = UpstreamStandIn::start(UpstreamSettings::default())
                 .await
                 .unwrap();
