--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -1,5 +1,7 @@
 //! The job with the fewest remaining tasks, with fair shares for teams and ageing.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use almondhead_macros::value;
@@ -54,6 +56,14 @@
     arrival: u64,
 }
 
+/// A team's first job that was not offered yet, by its place among all teams' jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Head {
+    put_back: PlacedJob,
+    placed: PlacedJob,
+    team: TeamKey,
+}
+
 /// Serves the job with the fewest remaining tasks, put back by what its team was served of late.
 ///
 /// A job counts as larger than it is by the square of its team's share of the recent service, each
@@ -135,28 +145,31 @@
 
     /// The first of at most [`SCAN_LIMIT`] jobs that `fits`, in the order of [`Self::first`].
     fn scan(&self, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
-        let mut cursors: Vec<_> = self
+        let mut heads: BinaryHeap<Reverse<Head>> = self
             .teams
-            .values()
-            .filter(|team| team.fewest().is_some())
-            .map(|team| {
-                let jobs = team.jobs().map(|placed| self.put_back(team, placed));
-                jobs.peekable()
-            })
+            .iter()
+            .filter_map(|(key, team)| Some(Reverse(self.head(key, team, team.fewest()?))))
             .collect();
         for _ in 0..SCAN_LIMIT {
-            let (_, cursor) = cursors
-                .iter_mut()
-                .filter_map(|cursor| Some((*cursor.peek()?, cursor)))
-                .min_by_key(|(placed, _)| *placed)?;
-            let job = cursor.next()?.job;
-            if fits(job) {
-                return Some(job);
+            let Reverse(head) = heads.pop()?;
+            if fits(head.placed.job) {
+                return Some(head.placed.job);
             }
+            let team = &self.teams[head.team];
+            let next = team.after(head.placed);
+            heads.extend(next.map(|placed| Reverse(self.head(head.team, team, placed))));
         }
         None
     }
 
+    fn head(&self, key: TeamKey, team: &TeamShare, placed: PlacedJob) -> Head {
+        Head {
+            put_back: self.put_back(team, placed),
+            placed,
+            team: key,
+        }
+    }
+
     /// The first job that `fits`, whoever's turn it is.
     fn first_fitting(&self, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
         if let Some(oldest) = self.oldest_in_turn()
--- a/lib/src/ordered_jobs.rs
+++ b/lib/src/ordered_jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs in the order of their places.
 
 use std::collections::BTreeSet;
+use std::ops::Bound;
 
 use almondhead_macros::key;
 use slotmap::SecondaryMap;
@@ -48,6 +49,12 @@
         self.order.first().copied()
     }
 
+    /// The job that comes after `placed`.
+    pub(crate) fn after(&self, placed: PlacedJob) -> Option<PlacedJob> {
+        let rest = (Bound::Excluded(placed), Bound::Unbounded);
+        self.order.range(rest).next().copied()
+    }
+
     /// The jobs in order.
     pub(crate) fn iter(&self) -> impl Iterator<Item = PlacedJob> {
         self.order.iter().copied()
--- a/lib/src/team_share.rs
+++ b/lib/src/team_share.rs
@@ -67,8 +67,8 @@
         self.oldest
     }
 
-    /// The jobs in the order of remaining tasks.
-    pub(crate) fn jobs(&self) -> impl Iterator<Item = PlacedJob> {
-        self.by_remaining.iter()
+    /// The job that comes after `placed` in the order of remaining tasks.
+    pub(crate) fn after(&self, placed: PlacedJob) -> Option<PlacedJob> {
+        self.by_remaining.after(placed)
     }
 }
--- a/lib/tests/queue_order.rs
+++ b/lib/tests/queue_order.rs
@@ -136,6 +136,28 @@
     }
 }
 
+#[test]
+fn jobs_are_offered_in_order() {
+    let mut keys = Keys::new();
+    let mut queue = fewest_first();
+    let mut expected = Vec::new();
+    for number in 0..SCAN_LIMIT as u32 {
+        let team = keys.team();
+        let entry = keys.entry(team, number * 7 % 480 + 1, 1_000);
+        queue.insert(Timestamp::ZERO, entry);
+        expected.push((entry.remaining, entry.job));
+    }
+    expected.sort();
+    let mut offered = Vec::new();
+    queue.next(Timestamp::ZERO, &mut |job| {
+        offered.push(job);
+        false
+    });
+    let expected: Vec<JobKey> = expected.into_iter().map(|(_, job)| job).collect();
+    assert_eq!(offered, expected[..offered.len()]);
+    assert!(offered.len() >= SCAN_LIMIT - 1);
+}
+
 #[test]
 fn a_job_that_does_not_fit_is_passed() {
     for policy in POLICIES {
