--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,6 +35,8 @@
 pub mod retry_budget;
 pub mod round_robin;
 pub mod run_estimate;
+mod run_histogram;
+mod running_mean;
 pub mod service;
 pub mod slow_weight;
 pub mod submission;
--- /dev/null
+++ b/lib/src/running_mean.rs
@@ -0,0 +1,38 @@
+//! A mean and a variance that follow recent values.
+
+/// The weight of one value once many were recorded.
+const MIN_WEIGHT: f64 = 1.0 / 128.0;
+
+/// An exponentially weighted mean and variance; the plain ones until many values were recorded.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RunningMean {
+    mean: f64,
+    variance: f64,
+    samples: u64,
+}
+
+impl RunningMean {
+    /// Counts a value.
+    pub(crate) fn record(&mut self, value: f64) {
+        self.samples += 1;
+        let weight = (1.0 / self.samples as f64).max(MIN_WEIGHT);
+        let off = value - self.mean;
+        self.mean += off * weight;
+        self.variance = (1.0 - weight) * (self.variance + weight * off * off);
+    }
+
+    /// The mean, zero when nothing was recorded.
+    pub(crate) fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// The variance.
+    pub(crate) fn variance(&self) -> f64 {
+        self.variance
+    }
+
+    /// How many values were recorded.
+    pub(crate) fn samples(&self) -> u64 {
+        self.samples
+    }
+}
