--- a/lib/src/estimated_finish.rs
+++ b/lib/src/estimated_finish.rs
@@ -1,16 +1,90 @@
 //! Refusal when the estimated finish is past the deadline.
 
+use std::time::Duration;
+
 use crate::admission::Admission;
 use crate::admission::AdmissionLoad;
 use crate::admission::Refusal;
+use crate::outcome::NotRunReason;
 use crate::queue_length::QueueLength;
+use crate::retry_after::retry_after;
+
+/// The share by which the wait is taken longer than estimated, as a divisor.
+const WAIT_MARGIN_DIVISOR: u32 = 4;
+
+/// How many times its deadline a job must be estimated to run before it is hopeless.
+const HOPELESS_FACTOR: u32 = 2;
 
-/// Refuses a job that is expected to miss its deadline.
+/// The measured run times from which a job is held to be hopeless.
+const MIN_SAMPLES: u64 = 20;
+
+/// Refuses a job that is expected to miss its deadline, or that the queue's bound refuses.
+///
+/// The finish is the wait for the work ahead, plus the job's own work over all slots and the run
+/// of its last task. With no wait a job is taken unless it is hopeless: estimates can be wrong,
+/// and nobody else is held up.
 #[derive(Debug)]
 pub struct EstimatedFinish;
 
 impl Admission for EstimatedFinish {
     fn admit(&self, load: &AdmissionLoad) -> Result<(), Refusal> {
-        QueueLength.admit(load)
+        let room = QueueLength.admit(load);
+        if load.slots == 0 {
+            return room;
+        }
+        match (room, refuse_late(load)) {
+            (Err(full), Err(late)) => Err(Refusal {
+                retry_after: full.retry_after.max(late.retry_after),
+                ..full
+            }),
+            (Err(full), Ok(())) => Err(full),
+            (Ok(()), in_time) => in_time,
+        }
+    }
+}
+
+fn refuse_late(load: &AdmissionLoad) -> Result<(), Refusal> {
+    let wait = wait(load);
+    let run = own_run(load);
+    if wait.is_zero() {
+        return refuse_hopeless(load, run);
+    }
+    let margin = wait / WAIT_MARGIN_DIVISOR;
+    let finish = wait + margin + run;
+    if finish <= load.time_left {
+        return Ok(());
+    }
+    let late = finish - load.time_left;
+    Err(overloaded(late.min(wait), load.spread))
+}
+
+/// The time until the first of the job's tasks can start.
+fn wait(load: &AdmissionLoad) -> Duration {
+    if load.queued_tasks == 0 && load.running < load.slots {
+        return Duration::ZERO;
+    }
+    let next_free = load.run_estimate.mean / load.slots;
+    load.queued_work / load.slots + next_free
+}
+
+/// The run of the whole job once its first task starts.
+fn own_run(load: &AdmissionLoad) -> Duration {
+    let mean = load.run_estimate.mean;
+    let others = load.tasks.saturating_sub(1);
+    mean.saturating_mul(others) / load.slots + mean
+}
+
+fn refuse_hopeless(load: &AdmissionLoad, run: Duration) -> Result<(), Refusal> {
+    let is_known = load.run_estimate.samples >= MIN_SAMPLES;
+    if is_known && run > load.time_left.saturating_mul(HOPELESS_FACTOR) {
+        return Err(overloaded(run, load.spread));
+    }
+    Ok(())
+}
+
+fn overloaded(room_in: Duration, spread: u32) -> Refusal {
+    Refusal {
+        reason: NotRunReason::Overloaded,
+        retry_after: retry_after(room_in, spread),
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod queue;
 pub mod queue_length;
 pub mod quota;
+mod retry_after;
 pub mod retry_budget;
 pub mod round_robin;
 pub mod run_estimate;
