overflow: forward waiting tasks by response time or by messages

Ownership gives each upstream to one instance by rendezvous scores in two passes, so that slots stay even.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ordered_queue;
 pub mod outcome;
 pub mod overflow;
+mod overflow_batch;
 pub mod overflow_batched;
 pub mod overflow_eager;
 pub mod ownership;
--- a/lib/src/overflow.rs
+++ b/lib/src/overflow.rs
@@ -28,6 +28,29 @@
     pub time_left: Duration,
 }
 
+impl OverflowNeed {
+    /// How many of the waiting tasks would wait here longer than `wait`.
+    ///
+    /// Slots come free at an even pace; a task that may not be forwarded waits before the others.
+    pub(crate) fn tasks_that_wait_longer_than(&self, wait: Duration) -> u32 {
+        if self.own_slots == 0 {
+            return self.waiting_tasks;
+        }
+        let run_us = self.run_estimate.as_micros().max(1);
+        let started_meanwhile = wait.as_micros() * u128::from(self.own_slots) / run_us;
+        let started_meanwhile = u32::try_from(started_meanwhile).unwrap_or(u32::MAX);
+        let started = started_meanwhile.saturating_add(self.own_free);
+        self.queued_tasks
+            .saturating_sub(started)
+            .min(self.waiting_tasks)
+    }
+
+    /// Whether a task that starts at `sibling` on arrival can be back before its deadline.
+    pub(crate) fn can_finish_at(&self, sibling: &SiblingRoom) -> bool {
+        sibling.one_way * 2 + self.run_estimate <= self.time_left
+    }
+}
+
 /// What is known of a sibling entry instance, for one service.
 #[value]
 #[derive(Copy)]
--- a/lib/src/overflow_eager.rs
+++ b/lib/src/overflow_eager.rs
@@ -1,16 +1,34 @@
 //! Overflow as soon as a sibling has room.
 
+use std::time::Duration;
+
 use crate::overflow::Overflow;
 use crate::overflow::OverflowNeed;
 use crate::overflow::OverflowShare;
 use crate::overflow::SiblingRoom;
+use crate::overflow_batch::BatchBounds;
+use crate::overflow_batch::batches;
 
 /// Forwards waiting tasks as soon as a sibling has a free slot, nearest first.
+///
+/// A task is worth forwarding when its wait here would be longer than the way there and back.
 #[derive(Debug)]
 pub struct EagerOverflow;
 
 impl Overflow for EagerOverflow {
-    fn split(&mut self, _need: &OverflowNeed, _siblings: &[SiblingRoom]) -> Vec<OverflowShare> {
-        Vec::new()
+    fn split(&mut self, need: &OverflowNeed, siblings: &[SiblingRoom]) -> Vec<OverflowShare> {
+        let mut nearest: Vec<&SiblingRoom> = siblings.iter().collect();
+        nearest.sort_by_key(|sibling| {
+            (
+                !sibling.same_data_centre,
+                sibling.one_way,
+                u32::MAX - sibling.free_slots,
+            )
+        });
+        let bounds = BatchBounds {
+            fewest_tasks: 1,
+            saved_wait: Duration::ZERO,
+        };
+        batches(need, &nearest, bounds)
     }
 }
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -1,7 +1,7 @@
 //! Which entry instance owns which upstream.
 
 use almondhead_macros::value;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// An upstream to be owned.
 #[value]
@@ -13,21 +13,93 @@
     pub slots: u32,
 }
 
+/// A possible owner of an upstream; the pairs with high scores are taken first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Pair {
+    score: u64,
+    upstream: usize,
+    instance: usize,
+}
+
 /// The index of the owning instance of each upstream, in the order of `upstreams`.
 ///
-/// The result depends on the names alone, not on their order; it is empty without instances.
+/// Instances own nearly the same number of slots. The result depends on the names and slots alone,
+/// not on their order, and few upstreams change hands when an instance joins or leaves. It is
+/// empty without instances.
 pub fn assign_owners(upstreams: &[OwnedUpstream<'_>], instances: &[&str]) -> Vec<usize> {
     if instances.is_empty() {
         return Vec::new();
     }
-    upstreams
-        .iter()
-        .map(|upstream| {
-            (0..instances.len())
-                .max_by_key(|index| {
-                    xxh3_64(format!("{}\0{}", upstream.name, instances[*index]).as_bytes())
-                })
-                .unwrap_or(0)
-        })
+    let mut assignment = Assignment::new(upstreams, instances.len());
+    let pairs = ranked_pairs(upstreams, instances);
+    assignment.take(&pairs, assignment.even_share());
+    assignment.take(&pairs, assignment.even_share() + assignment.most_slots());
+    assignment
+        .owners
+        .into_iter()
+        .map(|owner| owner.expect("the second pass leaves room for every upstream"))
         .collect()
 }
+
+/// All pairs, the highest score first.
+fn ranked_pairs(upstreams: &[OwnedUpstream<'_>], instances: &[&str]) -> Vec<Pair> {
+    let mut pairs = Vec::with_capacity(upstreams.len() * instances.len());
+    for (upstream, owned) in upstreams.iter().enumerate() {
+        let seed = xxh3_64_with_seed(owned.name.as_bytes(), 0);
+        for (instance, name) in instances.iter().enumerate() {
+            let score = xxh3_64_with_seed(name.as_bytes(), seed);
+            pairs.push(Pair {
+                score,
+                upstream,
+                instance,
+            });
+        }
+    }
+    pairs.sort_unstable_by(|left, right| right.cmp(left));
+    pairs
+}
+
+/// Owners as far as they are found.
+struct Assignment<'a> {
+    upstreams: &'a [OwnedUpstream<'a>],
+    owners: Vec<Option<usize>>,
+    owned_slots: Vec<u64>,
+}
+
+impl<'a> Assignment<'a> {
+    fn new(upstreams: &'a [OwnedUpstream<'a>], instances: usize) -> Self {
+        Assignment {
+            upstreams,
+            owners: vec![None; upstreams.len()],
+            owned_slots: vec![0; instances],
+        }
+    }
+
+    /// The slots that each instance would own if they could be split, rounded down.
+    fn even_share(&self) -> u64 {
+        let total: u64 = self
+            .upstreams
+            .iter()
+            .map(|owned| u64::from(owned.slots))
+            .sum();
+        total / self.owned_slots.len() as u64
+    }
+
+    fn most_slots(&self) -> u64 {
+        let most = self.upstreams.iter().map(|owned| owned.slots).max();
+        u64::from(most.unwrap_or(0))
+    }
+
+    /// Gives unowned upstreams to instances that stay within `cap` slots.
+    fn take(&mut self, pairs: &[Pair], cap: u64) {
+        for pair in pairs {
+            let slots = u64::from(self.upstreams[pair.upstream].slots);
+            let owned = &mut self.owned_slots[pair.instance];
+            let owner = &mut self.owners[pair.upstream];
+            if owner.is_none() && *owned + slots <= cap {
+                *owner = Some(pair.instance);
+                *owned += slots;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/overflow_split.rs
@@ -0,0 +1,133 @@
+//! The split of overflow among siblings.
+
+use std::time::Duration;
+
+use almondhead_lib::keys::SiblingKey;
+use almondhead_lib::overflow::OverflowNeed;
+use almondhead_lib::overflow::SiblingRoom;
+use almondhead_lib::overflow::overflow_for;
+use almondhead_lib::policies::Prefer;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slotmap::SlotMap;
+
+fn need(waiting_tasks: u32) -> OverflowNeed {
+    OverflowNeed {
+        waiting_tasks,
+        own_slots: 56,
+        own_free: 0,
+        queued_tasks: waiting_tasks,
+        run_estimate: Duration::from_millis(300),
+        time_left: Duration::from_secs(5),
+    }
+}
+
+/// Siblings by their free slots and the milliseconds to them.
+fn siblings(rooms: &[(u32, u64)]) -> Vec<SiblingRoom> {
+    let mut keys: SlotMap<SiblingKey, ()> = SlotMap::with_key();
+    rooms
+        .iter()
+        .map(|(free_slots, one_way_ms)| SiblingRoom {
+            sibling: keys.insert(()),
+            free_slots: *free_slots,
+            queued_tasks: 0,
+            slots: 56,
+            one_way: Duration::from_millis(*one_way_ms),
+            same_data_centre: *one_way_ms == 0,
+        })
+        .collect()
+}
+
+/// Tasks given to each sibling.
+fn split(prefer: Prefer, need: &OverflowNeed, siblings: &[SiblingRoom]) -> Vec<u32> {
+    let shares = overflow_for(prefer).split(need, siblings);
+    siblings
+        .iter()
+        .map(|sibling| {
+            shares
+                .iter()
+                .filter(|share| share.sibling == sibling.sibling)
+                .map(|share| share.tasks)
+                .sum()
+        })
+        .collect()
+}
+
+#[test]
+fn tasks_go_where_there_is_room() {
+    let rooms = siblings(&[(10, 1), (5, 0), (40, 2)]);
+    let no_slots = OverflowNeed {
+        own_slots: 0,
+        ..need(7)
+    };
+    let free = OverflowNeed {
+        own_free: 30,
+        ..need(20)
+    };
+    let late = OverflowNeed {
+        time_left: Duration::from_millis(301),
+        ..need(100)
+    };
+    // One task starts here every 5.4 ms: who waits no longer than the way there and back stays.
+    let cases = [
+        ("few wait", Prefer::ResponseTime, need(4), [0, 4, 0]),
+        ("many wait", Prefer::ResponseTime, need(30), [10, 5, 15]),
+        (
+            "more wait than fit",
+            Prefer::ResponseTime,
+            need(480),
+            [10, 5, 40],
+        ),
+        ("own slots are free", Prefer::ResponseTime, free, [0, 0, 0]),
+        (
+            "only the nearest can finish",
+            Prefer::ResponseTime,
+            late,
+            [0, 5, 0],
+        ),
+        ("no slots", Prefer::ResponseTime, no_slots, [2, 5, 0]),
+        ("small batches", Prefer::FewerMessages, need(30), [0, 0, 0]),
+        ("large batches", Prefer::FewerMessages, need(60), [0, 0, 40]),
+        ("no slots", Prefer::FewerMessages, no_slots, [0, 0, 7]),
+    ];
+    for (name, prefer, need, expected) in cases {
+        assert_eq!(split(prefer, &need, &rooms), expected, "{name} {prefer:?}");
+    }
+}
+
+#[test]
+fn siblings_that_queue_get_nothing() {
+    let mut rooms = siblings(&[(50, 1)]);
+    rooms[0].queued_tasks = 1;
+    for prefer in [Prefer::ResponseTime, Prefer::FewerMessages] {
+        assert_eq!(split(prefer, &need(480), &rooms), [0]);
+    }
+}
+
+#[test]
+fn shares_never_exceed_need_or_room() {
+    let mut rng = StdRng::seed_from_u64(5);
+    for _ in 0..2_000 {
+        let rooms: Vec<(u32, u64)> = (0..rng.random_range(0..8))
+            .map(|_| (rng.random_range(0..60), rng.random_range(0..4)))
+            .collect();
+        let rooms = siblings(&rooms);
+        let queued_tasks = rng.random_range(0..500);
+        let need = OverflowNeed {
+            waiting_tasks: rng.random_range(0..=queued_tasks),
+            own_slots: rng.random_range(0..64),
+            own_free: rng.random_range(0..10),
+            queued_tasks,
+            run_estimate: Duration::from_millis(rng.random_range(0..1_000)),
+            time_left: Duration::from_millis(rng.random_range(0..3_000)),
+        };
+        for prefer in [Prefer::ResponseTime, Prefer::FewerMessages] {
+            let tasks = split(prefer, &need, &rooms);
+            assert!(tasks.iter().sum::<u32>() <= need.waiting_tasks, "{need:?}");
+            for (tasks, room) in tasks.iter().zip(&rooms) {
+                assert!(*tasks <= room.free_slots, "{need:?} {room:?}");
+            }
+        }
+    }
+}
