--- a/entry/src/effects.rs
+++ b/entry/src/effects.rs
@@ -17,7 +17,7 @@
 use crate::driver_handle::DriverHandle;
 use crate::executor;
 use crate::metrics::Metrics;
-use crate::outbound::Outbound;
+use crate::peer::PeerTransport;
 use crate::upstream_client::UpstreamClient;
 
 /// Carries out the dispatcher's actions without ever making the driver wait.
@@ -26,7 +26,7 @@
     pub(crate) upstreams: Arc<UpstreamClient>,
     pub(crate) claims: ClaimQueue,
     pub(crate) platform: Arc<dyn Platform>,
-    pub(crate) peers: Arc<dyn Outbound>,
+    pub(crate) peers: Arc<dyn PeerTransport>,
     pub(crate) metrics: Metrics,
 }
 
@@ -74,8 +74,10 @@
         });
     }
 
-    /// Sends a message to another entry instance, or drops it.
-    pub(crate) fn send_peer(&self, instance: &str, message: PeerMessage) {
-        self.peers.send(instance, message);
+    /// Sends a message to another entry instance; gives back the event of one not sent.
+    pub(crate) fn send_peer(&self, instance: Arc<str>, message: PeerMessage) -> Option<Event> {
+        let error = self.peers.send(&instance, &message).err()?;
+        tracing::debug!(%error, "peer message not sent");
+        Some(Event::PeerNotSent { instance, message })
     }
 }
--- a/entry/src/operator_api.rs
+++ b/entry/src/operator_api.rs
@@ -16,6 +16,7 @@
 use crate::driver::DriverStatus;
 use crate::driver_handle::DriverHandle;
 use crate::metrics::Metrics;
+use crate::peer_counters::PeerCounters;
 use crate::reply::body_reply;
 use crate::reply::json_reply;
 use crate::stopping::Stopping;
@@ -26,6 +27,7 @@
     pub(crate) data_centre: String,
     pub(crate) driver: DriverHandle,
     pub(crate) metrics: Metrics,
+    pub(crate) peers: Arc<PeerCounters>,
     pub(crate) clock: Clock,
     pub(crate) stopping: Stopping,
 }
@@ -114,7 +116,7 @@
 
 async fn metrics(context: Arc<OperatorContext>, conn: Conn) -> Conn {
     let status = context.status().await.unwrap_or_default();
-    match context.metrics.scrape(&status) {
+    match context.metrics.scrape(&status, &context.peers) {
         Ok(text) => body_reply(conn, 200, TEXT, text),
         Err(error) => state_reply(conn, 500, &error.to_string()),
     }
