entry: prove settings, attempt ends, forwarding and the graceful stop

Real processes between stand-ins; the upstreams' own records are the witness. An instance name longer than a session token carries passed the settings check before; it is refused now.

--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use almondhead_lib::session_token::MAX_INSTANCE_BYTES;
 use almondhead_macros::value;
 use derive_more::Display;
 use derive_more::Error;
@@ -180,8 +181,8 @@
 
 fn read_settings(reader: &mut SettingsReader, problems: &mut Vec<SettingsProblem>) -> Settings {
     Settings {
-        instance: reader.text("instance"),
-        data_centre: reader.text("data_centre"),
+        instance: reader.short_text("instance", MAX_INSTANCE_BYTES),
+        data_centre: reader.short_text("data_centre", MAX_INSTANCE_BYTES),
         caller_address: reader.address("caller_address"),
         peer_address: reader.address("peer_address"),
         operator_address: reader.address("operator_address"),
--- a/entry/src/settings_reader.rs
+++ b/entry/src/settings_reader.rs
@@ -52,6 +52,15 @@
         text.unwrap_or_default()
     }
 
+    /// A text of at most `max_bytes` that must be there.
+    pub(crate) fn short_text(&mut self, name: &str, max_bytes: usize) -> String {
+        let text = self.text(name);
+        if text.len() > max_bytes {
+            self.report_field(name, &format!("must hold at most {max_bytes} bytes"));
+        }
+        text
+    }
+
     /// A text that may be left out.
     pub(crate) fn optional_text(&mut self, name: &str) -> Option<String> {
         match self.fields.remove(name)? {
--- /dev/null
+++ b/entry/tests/settings_check.rs
@@ -0,0 +1,126 @@
+//! The checker of settings files.
+
+use std::fs;
+use std::process::Command;
+
+use almondhead_entry::Settings;
+use almondhead_entry::SettingsError;
+use almondhead_entry::TraceOutput;
+use almondhead_testsupport::site::TestResult;
+use serde_json::Value;
+use serde_json::json;
+
+const RIGHT: &str = r#"{
+  // Where this process stands.
+  "instance": "entry-a",
+  "data_centre": "north",
+  "caller_address": "127.0.0.1:8080",
+  "peer_address": "127.0.0.1:8081",
+  "operator_address": "127.0.0.1:8082",
+  "platform_address": "127.0.0.1:9000",
+  "peer_key": "a key for tests of thirty-two bytes or more",
+  "limits": { "tasks_per_job": 480, }, /* the rest by default */
+}"#;
+
+fn right() -> Value {
+    let parsed = jsonc_parser::parse_to_serde_value(RIGHT, &Default::default());
+    parsed.expect("the right settings are JSON with comments")
+}
+
+fn paths(text: &str) -> Vec<String> {
+    match Settings::parse(text) {
+        Err(SettingsError::Invalid { problems }) => {
+            problems.into_iter().map(|problem| problem.path).collect()
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn right_settings_pass() -> TestResult {
+    let settings = Settings::parse(RIGHT)?;
+    assert_eq!(settings.instance, "entry-a");
+    assert_eq!(settings.limits.tasks_per_job, 480);
+    assert_eq!(settings.trace_output, TraceOutput::None);
+    assert_eq!(settings, Settings::parse(RIGHT)?);
+    Ok(())
+}
+
+#[test]
+fn each_fault_is_named() {
+    let table = [
+        ("/instance", Value::Null),
+        ("/instance", json!("")),
+        ("/instance", json!("x".repeat(256))),
+        ("/data_centre", json!(3)),
+        ("/caller_address", json!("localhost:80")),
+        ("/peer_address", json!("10.0.0.1")),
+        ("/operator_address", json!("10.0.0.1:70000")),
+        ("/platform_address", json!(9_000)),
+        ("/peer_key", json!("short")),
+        ("/executor_threads", json!(0)),
+        ("/executor_threads", json!(1.5)),
+        ("/log_filter", json!("almondhead=loud")),
+        ("/trace_output", json!(true)),
+        ("/stop_notice_ms", json!(-1)),
+        ("/limits", json!([])),
+        ("/limits/body_bytes", json!({ "body_bytes": 0 })),
+        ("/limits/disc_bytes", json!({ "disc_bytes": 1 })),
+        ("/platform/timeout_ms", json!({ "timeout_ms": "1s" })),
+        ("/urgent", json!(true)),
+    ];
+    for (path, value) in table {
+        let field = path.split('/').nth(1).unwrap_or_default();
+        let mut settings = right();
+        settings[field] = value;
+        assert_eq!(paths(&settings.to_string()), [path], "{settings}");
+    }
+}
+
+#[test]
+fn all_faults_come_at_once() {
+    let missing = paths("{}");
+    let wanted = [
+        "/instance",
+        "/data_centre",
+        "/caller_address",
+        "/peer_address",
+        "/operator_address",
+        "/platform_address",
+        "/peer_key",
+    ];
+    assert_eq!(missing, wanted);
+}
+
+#[test]
+fn fault_of_syntax_has_its_line() {
+    let text = "{\n  \"instance\": \"entry-a\",\n  \"data_centre\" 7\n}";
+    match Settings::parse(text) {
+        Err(SettingsError::Syntax { line, .. }) => assert_eq!(line, 3),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn secret_does_not_show() -> TestResult {
+    let shown = format!("{:?}", Settings::parse(RIGHT)?);
+    assert!(!shown.contains("a key for tests"), "{shown}");
+    Ok(())
+}
+
+#[test]
+fn program_checks_a_file() -> TestResult {
+    let directory = tempfile::tempdir()?;
+    let file = directory.path().join("settings.jsonc");
+    for (text, code) in [(RIGHT, 0), ("{ \"x\": 1 }", 2)] {
+        fs::write(&file, text)?;
+        let output = Command::new(env!("CARGO_BIN_EXE_almondhead"))
+            .arg("--check-settings")
+            .arg(&file)
+            .output()?;
+        assert_eq!(output.status.code(), Some(code), "{output:?}");
+        let faults = String::from_utf8(output.stderr)?;
+        assert_eq!(faults.contains("/x: is no known setting"), code == 2);
+    }
+    Ok(())
+}
--- a/entry/tests/whole_path.rs
+++ b/entry/tests/whole_path.rs
@@ -1,10 +1,14 @@
 //! A caller's submission through a real entry process to upstreams and back.
 
+use std::fs;
+use std::time::Duration;
+
 use almondhead_net::Method;
 use serde_json::Value;
 use serde_json::json;
 
 use almondhead_testsupport::site::SERVICE;
+use almondhead_testsupport::site::SOUTH;
 use almondhead_testsupport::site::Site;
 use almondhead_testsupport::site::Starts;
 use almondhead_testsupport::site::TEAM;
@@ -218,3 +222,40 @@
         Ok(())
     })
 }
+
+#[test]
+fn job_is_answered_through_another_data_centre() -> TestResult {
+    smol::block_on(async {
+        let mut site = Site::start(2).await?;
+        let trace_file = site.directory.path().join("spans.jsonl");
+        let traced = json!({ "trace_output": trace_file });
+        let remote = site.start_entry("entry-b", SOUTH, traced).await?;
+        site.wait_for_siblings(1).await?;
+        let session = site.open_session(0).await?;
+        let path = format!("/v1/sessions/{session}/jobs/1");
+        let request = site.request(remote, Method::PUT, &path);
+        let request = with_header(request, "traceparent", TRACEPARENT);
+        let answer = site
+            .send(request.with_body(job(480, 5).to_string()))
+            .await?;
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+        let results = json_of(&answer)?["results"].as_array().map(Vec::len);
+        assert_eq!(results, Some(480));
+        assert_eq!(site.starts().tasks, 480);
+        assert_eq!(site.starts().most_of_one, 1);
+
+        site.entries[remote].process.terminate()?;
+        let ended = site.entries[remote].process.wait_for_exit(STOP_TIMEOUT);
+        assert!(ended.await?.success());
+        let spans = fs::read_to_string(trace_file)?;
+        assert!(spans.lines().all(|line| line.contains(TRACE_ID)), "{spans}");
+        for hop in ["caller", "forward"] {
+            assert!(spans.contains(&format!("\"name\":\"{hop}\"")), "{spans}");
+        }
+        Ok(())
+    })
+}
+
+const TRACE_ID: &str = "4bf92f3577b34da6a3ce929d0e0e4736";
+const TRACEPARENT: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
--- a/lib/testsupport/src/site.rs
+++ b/lib/testsupport/src/site.rs
@@ -23,6 +23,7 @@
 use almondhead_net::header::HeaderValue;
 use serde_json::Value;
 use serde_json::json;
+use smol::Timer;
 use tempfile::TempDir;
 
 use crate::platform::PlatformSettings;
@@ -45,6 +46,8 @@
 /// A data centre without upstreams.
 pub const SOUTH: &str = "south";
 
+const STATUS_POLL: Duration = Duration::from_millis(50);
+const STATUS_POLLS: u32 = 200;
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -166,6 +169,28 @@
         Ok(self.entries.len() - 1)
     }
 
+    /// Waits until every entry has heard from `siblings` others.
+    pub async fn wait_for_siblings(&self, siblings: u64) -> TestResult {
+        for entry in &self.entries {
+            self.wait_for_status(entry.operators, "siblings_heard", siblings)
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a field of an entry's status has a value.
+    async fn wait_for_status(&self, operators: SocketAddr, field: &str, wanted: u64) -> TestResult {
+        for _ in 0..STATUS_POLLS {
+            let request = HttpRequest::new(Method::GET, operators, "/status");
+            let answer = self.send(request).await?;
+            if json_of(&answer)?[field] == wanted {
+                return Ok(());
+            }
+            Timer::after(STATUS_POLL).await;
+        }
+        Err(format!("{field} at {operators} is not {wanted}").into())
+    }
+
     /// Opens a session at an entry and returns its token.
     pub async fn open_session(&self, entry: usize) -> Result<String, Box<dyn Error>> {
         let request = self.request(entry, Method::POST, "/v1/sessions");
