--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -1,5 +1,6 @@
 //! The one task that owns the dispatcher: events in, actions out.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use almondhead_lib::action::Action;
@@ -64,6 +65,7 @@
     hops: HopTracker,
     replies: IndexMap<RequestId, Sender<Arc<JobAnswer>>>,
     actions: Vec<Action>,
+    follow_ups: VecDeque<Event>,
 }
 
 impl Driver {
@@ -83,6 +85,7 @@
             hops,
             replies: IndexMap::new(),
             actions: Vec::new(),
+            follow_ups: VecDeque::new(),
         }
     }
 
@@ -145,7 +148,15 @@
         }
     }
 
-    fn handle(&mut self, mut event: Event) {
+    /// Hands an event to the dispatcher, and then those that its actions bring about at once.
+    fn handle(&mut self, event: Event) {
+        self.follow_ups.push_back(event);
+        while let Some(event) = self.follow_ups.pop_front() {
+            self.handle_one(event);
+        }
+    }
+
+    fn handle_one(&mut self, mut event: Event) {
         self.hops.before_event(&mut event);
         let mut actions = std::mem::take(&mut self.actions);
         self.dispatcher
@@ -173,7 +184,8 @@
                 mut message,
             } => {
                 self.hops.before_send(&instance, &mut message);
-                self.effects.send_peer(&instance, message);
+                let not_sent = self.effects.send_peer(instance, message);
+                self.follow_ups.extend(not_sent);
             }
         }
     }
--- a/entry/src/instance_watch.rs
+++ b/entry/src/instance_watch.rs
@@ -15,7 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::driver_handle::DriverHandle;
-use crate::outbound::Outbound;
+use crate::peer::PeerTransport;
 use crate::stopping::Stopping;
 use crate::timer::TimerService;
 
@@ -29,7 +29,7 @@
     pub(crate) own: ListedInstance,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) driver: DriverHandle,
-    pub(crate) outbound: Arc<dyn Outbound>,
+    pub(crate) peers: Arc<dyn PeerTransport>,
     pub(crate) stopping: Stopping,
     pub(crate) seen: Seen,
 }
@@ -82,7 +82,7 @@
             "membership changed"
         );
         self.seen.reported = membership.clone();
-        self.outbound.update(&membership);
+        self.peers.set_siblings(&membership.siblings);
         self.driver.send(Event::MembershipChanged(membership)).await;
     }
 
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -18,7 +18,6 @@
 mod logging;
 mod metrics;
 mod operator_api;
-mod outbound;
 pub mod peer;
 pub mod peer_counters;
 mod peer_link;
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -13,6 +13,8 @@
 use prometheus::TextEncoder;
 
 use crate::driver::DriverStatus;
+use crate::peer_counters::PeerCount;
+use crate::peer_counters::PeerCounters;
 use crate::upstream_client::end_name;
 
 /// The metrics of one process; clones share them.
@@ -24,6 +26,7 @@
     answers: IntCounterVec,
     attempts: IntCounterVec,
     claims: IntCounterVec,
+    peer_messages: IntCounterVec,
     request_seconds: Histogram,
     revision: IntGauge,
     leaving: IntGauge,
@@ -75,6 +78,11 @@
                 "Claims of idempotency keys by their end.",
                 "end",
             )?,
+            peer_messages: counters(
+                "almondhead_peer_messages_total",
+                "Messages of the transport between entry instances.",
+                "end",
+            )?,
             request_seconds,
             revision: gauge("almondhead_document_revision", "Revision in force.")?,
             leaving: gauge("almondhead_leaving", "Whether the instance is stopping.")?,
@@ -105,13 +113,26 @@
     }
 
     /// The text of a scrape, with the gauges set by `status`.
-    pub(crate) fn scrape(&self, status: &DriverStatus) -> Result<Vec<u8>, prometheus::Error> {
+    pub(crate) fn scrape(
+        &self,
+        status: &DriverStatus,
+        peers: &PeerCounters,
+    ) -> Result<Vec<u8>, prometheus::Error> {
         self.set_gauges(status);
+        self.copy_counters(peers);
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
         Ok(text)
     }
 
+    /// Brings the counters of peer messages up to those of the transport.
+    fn copy_counters(&self, peers: &PeerCounters) {
+        for count in PeerCount::ALL {
+            let counter = self.0.peer_messages.with_label_values(&[count.label()]);
+            counter.inc_by(peers.get(count).saturating_sub(counter.get()));
+        }
+    }
+
     fn set_gauges(&self, status: &DriverStatus) {
         let metrics = &self.0;
         let status = &status.dispatcher;
