almondctl: offer a load at a set rate and measure it

Arrivals are drawn before the start and each response counts from its planned time, so that a slow entry cannot slow the offer down and hide its waiting.

--- /dev/null
+++ b/ctl/src/load.rs
@@ -0,0 +1,71 @@
+//! `almondctl load`: offers jobs to entry instances at a set rate and reports how they fared.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::load_driver::LoadDriver;
+use crate::load_error::LoadError;
+use crate::load_options::LoadOptions;
+use crate::load_plan::LoadPlan;
+use crate::load_report::LoadReport;
+use crate::load_scrape::scrape_messages;
+
+/// The name of the subcommand.
+pub const NAME: &str = "load";
+
+const ABOUT: &str = "Offers jobs to entry instances at a set rate and measures them";
+
+const DETAILS: &str = "\
+Jobs are sent at times drawn before the start, whatever became of the earlier ones, and each
+response time counts from the planned time. The ideal of a single task is its run time and the
+unavoidable round trips; that of a job also bears that its tasks share the slots.";
+
+/// Exit code of arguments that cannot be used.
+const EXIT_USAGE: u8 = 2;
+
+/// Exit code of entries that could not be reached.
+const EXIT_NOT_REACHED: u8 = 4;
+
+/// The command line of the subcommand.
+pub fn command() -> Command {
+    LoadOptions::with_arguments(Command::new(NAME).about(ABOUT).long_about(DETAILS))
+}
+
+/// Runs the load and prints its report.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let options = match LoadOptions::from_matches(matches) {
+        Ok(options) => options,
+        Err(error) => return fail(&error, EXIT_USAGE),
+    };
+    match offer(&options) {
+        Ok(report) if options.json => println!("{}", report.to_json()),
+        Ok(report) => print!("{report}"),
+        Err(error) => return fail(&error, EXIT_NOT_REACHED),
+    }
+    ExitCode::SUCCESS
+}
+
+/// Offers the load that `options` describe.
+///
+/// # Errors
+///
+/// [`LoadError`] when an entry cannot be reached before the first job.
+pub fn offer(options: &LoadOptions) -> Result<LoadReport, LoadError> {
+    let plan = LoadPlan::draw(options);
+    let driver = Arc::new(LoadDriver::new(options));
+    let before = smol::block_on(scrape_messages(driver.client(), &options.operators))?;
+    let samples = driver.run(&plan)?;
+    let after = smol::block_on(scrape_messages(driver.client(), &options.operators))?;
+    let messages = after
+        .zip(before)
+        .map(|(after, before)| after.since(&before));
+    Ok(LoadReport::new(options, &plan, &samples, messages))
+}
+
+fn fail(error: &LoadError, code: u8) -> ExitCode {
+    eprintln!("almondctl: {error}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/ctl/src/load_report.rs
@@ -0,0 +1,214 @@
+//! What a load measured, as text and as JSON.
+
+use std::fmt;
+use std::time::Duration;
+
+use almondhead_macros::message;
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+
+use crate::load_options::LoadOptions;
+use crate::load_plan::LoadPlan;
+use crate::load_sample::JobEnd;
+use crate::load_sample::JobSample;
+use crate::load_scrape::MessageTotals;
+
+/// Ratios are recorded in thousandths.
+const RATIO_UNIT: f64 = 1_000.0;
+
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// Some points of a distribution.
+#[message]
+#[derive(Copy, Default)]
+pub struct Percentiles {
+    /// How many values there are.
+    pub count: u64,
+    /// Half of the values are at most this.
+    pub p50: f64,
+    /// 99 of 100 values are at most this.
+    pub p99: f64,
+    /// 999 of 1000 values are at most this.
+    pub p999: f64,
+    /// The largest value.
+    pub max: f64,
+}
+
+/// The messages of a load.
+#[message]
+pub struct MessageReport {
+    /// By kind, over all entries.
+    pub by_kind: IndexMap<String, u64>,
+    /// Messages beyond one request and one answer for each useful task, for each task offered.
+    pub wasted_per_task: f64,
+}
+
+/// The report of one load.
+#[message]
+pub struct LoadReport {
+    /// The seed.
+    pub seed: u64,
+    /// Jobs offered, single tasks among them.
+    pub jobs: u64,
+    /// Tasks offered.
+    pub tasks: u64,
+    /// Jobs by how they ended.
+    pub ends: IndexMap<String, u64>,
+    /// Response over ideal of complete single tasks.
+    pub singles_over_ideal: Percentiles,
+    /// Response over ideal of complete jobs.
+    pub jobs_over_ideal: Percentiles,
+    /// The time to answer refusals in milliseconds.
+    pub refusal_ms: Percentiles,
+    /// Jobs that were sent again as told and then completed.
+    pub followed_complete: u64,
+    /// Jobs that were sent again as told.
+    pub followed: u64,
+    /// Run time of the tasks of complete jobs, as a share of what the slots could run.
+    pub goodput: f64,
+    /// The time from the start to the last answer in seconds.
+    pub span_s: f64,
+    /// The messages, when the entries' metrics were read.
+    pub messages: Option<MessageReport>,
+}
+
+impl LoadReport {
+    /// Sums up the samples of a plan.
+    pub fn new(
+        options: &LoadOptions,
+        plan: &LoadPlan,
+        samples: &[JobSample],
+        messages: Option<MessageTotals>,
+    ) -> Self {
+        let ratios = |single: bool| {
+            let of_kind = samples.iter().filter(move |s| is_useful(s));
+            let of_kind = of_kind.filter(move |s| plan.jobs[s.job].single == single);
+            percentiles(of_kind.map(|sample| over_ideal(options, plan, sample)))
+        };
+        let refused = samples
+            .iter()
+            .filter(|sample| matches!(sample.end, JobEnd::NotRun { .. }));
+        let followed = samples.iter().filter(|sample| sample.retries > 0);
+        let useful = samples.iter().filter(|sample| is_useful(sample));
+        let useful_tasks = useful.map(|s| plan.jobs[s.job].run_ms.len() as u64).sum();
+        let tasks = plan.tasks() as u64;
+        let span = span(plan, samples).max(options.duration);
+        LoadReport {
+            seed: options.seed,
+            jobs: plan.jobs.len() as u64,
+            tasks,
+            ends: count_ends(samples),
+            singles_over_ideal: ratios(true),
+            jobs_over_ideal: ratios(false),
+            refusal_ms: percentiles(refused.map(|sample| sample.exchange.as_secs_f64() * 1e3)),
+            followed_complete: followed.clone().filter(|s| is_useful(s)).count() as u64,
+            followed: followed.count() as u64,
+            goodput: useful_run_s(plan, samples) / (span.as_secs_f64() * f64::from(options.slots)),
+            span_s: span.as_secs_f64(),
+            messages: messages.map(|totals| message_report(totals, useful_tasks, tasks)),
+        }
+    }
+
+    /// The report in JSON.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string_pretty(self).expect("reports have text keys only")
+    }
+}
+
+fn is_useful(sample: &JobSample) -> bool {
+    sample.end == JobEnd::Complete
+}
+
+fn over_ideal(options: &LoadOptions, plan: &LoadPlan, sample: &JobSample) -> f64 {
+    let ideal = plan.jobs[sample.job].ideal(options.slots, options.round_trips);
+    sample.response.as_secs_f64() / ideal.as_secs_f64()
+}
+
+fn useful_run_s(plan: &LoadPlan, samples: &[JobSample]) -> f64 {
+    let useful = samples.iter().filter(|sample| is_useful(sample));
+    useful
+        .flat_map(|sample| &plan.jobs[sample.job].run_ms)
+        .map(|run_ms| f64::from(*run_ms) / 1e3)
+        .sum()
+}
+
+fn span(plan: &LoadPlan, samples: &[JobSample]) -> Duration {
+    let ends = samples.iter().map(|s| plan.jobs[s.job].at + s.response);
+    ends.max().unwrap_or_default()
+}
+
+fn count_ends(samples: &[JobSample]) -> IndexMap<String, u64> {
+    let mut ends = IndexMap::new();
+    for sample in samples {
+        *ends.entry(sample.end.label()).or_default() += 1;
+    }
+    ends.sort_unstable_keys();
+    ends
+}
+
+fn message_report(totals: MessageTotals, useful_tasks: u64, tasks: u64) -> MessageReport {
+    let wasted = totals.all() as f64 - 2.0 * useful_tasks as f64;
+    MessageReport {
+        wasted_per_task: wasted / tasks.max(1) as f64,
+        by_kind: totals.by_kind,
+    }
+}
+
+fn percentiles(values: impl Iterator<Item = f64>) -> Percentiles {
+    let mut histogram = Histogram::<u64>::new(SIGNIFICANT_DIGITS).expect("digits are in range");
+    for value in values {
+        // The histogram grows with its values, so that every one fits.
+        let _ = histogram.record((value * RATIO_UNIT).round() as u64);
+    }
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / RATIO_UNIT;
+    Percentiles {
+        count: histogram.len(),
+        p50: at(0.5),
+        p99: at(0.99),
+        p999: at(0.999),
+        max: histogram.max() as f64 / RATIO_UNIT,
+    }
+}
+
+impl fmt::Display for Percentiles {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Percentiles {
+            count,
+            p50,
+            p99,
+            p999,
+            max,
+        } = self;
+        write!(
+            f,
+            "p50 {p50:.3}  p99 {p99:.3}  p99.9 {p999:.3}  max {max:.3}  of {count}"
+        )
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (jobs, tasks) = (self.jobs, self.tasks);
+        writeln!(f, "seed               {}", self.seed)?;
+        writeln!(f, "offered            {jobs} jobs, {tasks} tasks")?;
+        writeln!(f, "span               {:.1} s", self.span_s)?;
+        for (end, jobs) in &self.ends {
+            writeln!(f, "  {end:<28} {jobs}")?;
+        }
+        writeln!(f, "singles over ideal {}", self.singles_over_ideal)?;
+        writeln!(f, "jobs over ideal    {}", self.jobs_over_ideal)?;
+        writeln!(f, "refused in ms      {}", self.refusal_ms)?;
+        let (followed, complete) = (self.followed, self.followed_complete);
+        writeln!(f, "followed           {followed} jobs, {complete} complete")?;
+        writeln!(f, "goodput            {:.3} of the slots", self.goodput)?;
+        let Some(messages) = &self.messages else {
+            return writeln!(f, "messages           not read");
+        };
+        let wasted = messages.wasted_per_task;
+        writeln!(f, "wasted messages    {wasted:.3} for each task")?;
+        for (kind, count) in &messages.by_kind {
+            writeln!(f, "  {kind:<28} {count}")?;
+        }
+        Ok(())
+    }
+}
