--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -19,6 +19,12 @@
 mod metrics;
 mod operator_api;
 mod outbound;
+pub mod peer;
+pub mod peer_counters;
+mod peer_link;
+pub mod peer_memory;
+pub mod peer_nng;
+pub mod peer_queue;
 mod problem;
 mod process;
 mod reply;
@@ -56,3 +62,4 @@
 pub use crate::upstream_client::TASK_ID;
 pub use crate::upstream_client::TASK_NOT_RUN;
 pub use crate::upstream_client::TASK_TIMEOUT_MS;
+//! Placeholder.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod choice;
 mod claiming;
 pub mod data_centre;
-pub mod deadline_queue;
 pub mod dispatcher;
 pub mod document;
 pub mod document_diff;
@@ -39,6 +38,7 @@
 pub mod membership;
 pub mod message_counts;
 mod ordered_jobs;
+pub mod ordered_queue;
 pub mod outcome;
 pub mod overflow;
 pub mod overflow_batched;
@@ -47,8 +47,6 @@
 pub mod peer_codec;
 pub mod peer_envelope;
 pub mod peer_message;
-#[allow(clippy::all, missing_docs, unreachable_pub)]
-#[rustfmt::skip]
 pub mod peer_proto;
 mod pending_claim;
 mod plan;
@@ -76,7 +74,12 @@
 mod submitting;
 pub mod target;
 pub mod team;
+mod team_share;
+mod team_usage;
 pub mod time;
 pub mod timer;
 pub mod upstream;
 mod upstream_state;
+
+#[allow(clippy::all, missing_docs, unreachable_pub)]
+#[rustfmt::skip]
