--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -55,4 +55,3 @@
     });
     exit.into()
 }
-//! The operators' program of almondhead.
--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -184,7 +184,8 @@
         match end {
             AttemptEnd::Finished { .. } => {
                 self.counts.upstream_answers += 1;
-                upstream.health.on_success(self.now);
+                // Its service is looked at again after every end, restored or not.
+                let _ = upstream.health.on_success(self.now);
                 upstream.latency.record(took);
             }
             AttemptEnd::TaskFailed { .. } => {
@@ -193,7 +194,7 @@
             }
             AttemptEnd::NotStarted(NotStartedCause::Refused) => {
                 self.counts.refusals += 1;
-                upstream.health.on_refusal(self.now);
+                let _ = upstream.health.on_refusal(self.now);
                 upstream.pause(self.now);
                 let resumes_at = upstream.paused_until;
                 self.timers
