--- a/lib/tests/job_promises.rs
+++ b/lib/tests/job_promises.rs
@@ -85,6 +85,33 @@
         .quickcheck(promises_hold as fn(Vec<Step>) -> TestResult);
 }
 
+/// The random events reach what they are meant to break.
+#[test]
+fn random_coverage() {
+    let mut g = Gen::from_size_and_seed(STEPS, SEED);
+    let mut counts = Vec::new();
+    let mut answers = [0; 3];
+    for _ in 0..100 {
+        let mut fakes = CoreFakes::new();
+        for step in Vec::<Step>::arbitrary(&mut g) {
+            take(&mut fakes, step);
+        }
+        counts.extend(fakes.dispatchers.iter().map(|d| d.status().messages));
+        for job in &fakes.jobs {
+            answers[0] += job.complete_answers;
+            answers[1] += job.failed_answers;
+            answers[2] += job.not_run_answers;
+        }
+    }
+    assert!(counts.iter().any(|count| count.batches > 0));
+    assert!(counts.iter().any(|count| count.batch_answers > 0));
+    assert!(counts.iter().any(|count| count.forwards > 0));
+    assert!(counts.iter().any(|count| count.forward_answers > 0));
+    assert!(counts.iter().any(|count| count.retries > 0));
+    assert!(counts.iter().any(|count| count.cancels > 0));
+    assert!(answers.iter().all(|count| *count > 0), "{answers:?}");
+}
+
 /// Without faults, every job submitted through any instance is answered whole.
 #[test]
 fn no_faults() {
