tests: use sessions over many numbers, quotas and expired answers at random

Fails now: a key whose answer expired is claimed again by its own home; when the table cannot be reached then, the key counts as claimed by us and never run, and the job runs a second time.

--- a/lib/tests/job_promises.rs
+++ b/lib/tests/job_promises.rs
@@ -11,9 +11,12 @@
 use quickcheck::TestResult;
 
 const SEED: u64 = 20_261_203;
-const CASES: u64 = 3_000;
+const CASES: u64 = 4_000;
 const STEPS: usize = 200;
 
+/// Longer than answers are kept.
+const KEPT_ANSWERS: Duration = Duration::from_secs(61);
+
 /// One step, its choices taken modulo what there is.
 #[derive(Clone, Copy, Debug)]
 struct Step {
@@ -61,6 +64,8 @@
         (29, ..) => fakes.advance(Duration::from_millis(u64::from(step.pick) % 3_000)),
         (30, ..) => fakes.advance(Duration::from_millis(u64::from(step.pick) % 200)),
         (31, ..) if step.pick.is_multiple_of(4) => fakes.restart(instance),
+        (31, ..) if step.pick.is_multiple_of(3) => fakes.advance(KEPT_ANSWERS),
+        (31, ..) => fakes.skip_numbers(instance, u64::from(step.pick) % 16),
         _ => {}
     }
 }
--- a/lib/testsupport/src/core_fakes.rs
+++ b/lib/testsupport/src/core_fakes.rs
@@ -15,6 +15,7 @@
 use almondhead_lib::id::Incarnation;
 use almondhead_lib::id::JobAddress;
 use almondhead_lib::id::RequestId;
+use almondhead_lib::id::SessionId;
 use almondhead_lib::membership::Membership;
 use almondhead_lib::membership::Sibling;
 use almondhead_lib::outcome::AttemptEnd;
@@ -48,7 +49,7 @@
     { "name": "u3", "data_centre": "west", "service": "lookup", "address": "127.0.0.1:1003",
       "slots": 2, "connections": 16, "cores": 4, "memory_mib": 1024 }
   ],
-  "teams": [{ "name": "sales", "weight": 1, "max_open_tasks": 1000, "max_tasks_per_second": 100000 }]
+  "teams": [{ "name": "sales", "weight": 1, "max_open_tasks": 40, "max_tasks_per_second": 100000 }]
 }"#;
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -153,6 +154,7 @@
     requests: IndexMap<RequestId, usize>,
     started: IndexMap<TaskStart, u32>,
     table: IndexMap<Arc<str>, (PeerIdentity, u64)>,
+    sessions: [Option<(SessionId, u64)>; NAMES.len()],
     next_incarnation: u64,
     next_request: u64,
 }
@@ -177,6 +179,7 @@
             requests: IndexMap::new(),
             started: IndexMap::new(),
             table: IndexMap::new(),
+            sessions: [const { None }; NAMES.len()],
             next_incarnation: 1,
             next_request: 1,
         };
@@ -302,14 +305,29 @@
         }
     }
 
-    /// Opens a session at an instance and submits a job in it.
+    /// Submits a job in the session of an instance, which is opened when there is none.
     pub fn submit_in_session(&mut self, instance: usize, tasks: usize) -> usize {
-        let session = self.dispatchers[instance].open_session(self.now);
-        let session = session.expect("a session");
-        let number = 1;
+        let incarnation = self.dispatchers[instance].incarnation();
+        let known = self.sessions[instance].take();
+        let (session, number) = known
+            .filter(|(session, _)| session.home == incarnation)
+            .unwrap_or_else(|| (self.open_session(instance), 0));
+        self.sessions[instance] = Some((session.clone(), number + 1));
         self.submit_new(instance, JobAddress::Session { session, number }, tasks)
     }
 
+    fn open_session(&mut self, instance: usize) -> SessionId {
+        let session = self.dispatchers[instance].open_session(self.now);
+        session.expect("a session")
+    }
+
+    /// Leaves out job numbers of the session of an instance.
+    pub fn skip_numbers(&mut self, instance: usize, count: u64) {
+        if let Some((_, number)) = &mut self.sessions[instance] {
+            *number += count;
+        }
+    }
+
     /// Submits a job by an idempotency key.
     pub fn submit_by_key(&mut self, instance: usize, tasks: usize) -> usize {
         let address = JobAddress::Key {
