--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -9,6 +9,14 @@
 mod error;
 mod exit;
 mod history_command;
+pub mod load;
+mod load_driver;
+pub mod load_error;
+pub mod load_options;
+pub mod load_plan;
+pub mod load_report;
+pub mod load_sample;
+pub mod load_scrape;
 mod report;
 mod schema_command;
 mod show_command;
@@ -21,7 +29,6 @@
 
 use std::ffi::OsString;
 use std::process::ExitCode;
-
 /// Runs the program with its arguments, the first being its own name.
 ///
 /// Results go to the standard output, errors with their step and peer to the standard error.
@@ -41,7 +48,6 @@
         }
     }
 }
-
 fn exit_code(result: Result<exit::Exit, error::CtlError>) -> ExitCode {
     let exit = result.unwrap_or_else(|error| {
         eprintln!("almondctl: {error}");
