dispatcher: tell our claims of one key apart

Cause: a claim whose answer was lost left the key as claimed by us and never run, also when the same incarnation had run a job under it whose answer had expired since; the row then named us, and the job ran again. Ruled out: the table (the row is the first claim's) and the forward of the second caller. The row now carries the claim's number, and a job runs under an earlier claim of ours only when nothing ran since that claim.

--- a/entry/src/claim_queue.rs
+++ b/entry/src/claim_queue.rs
@@ -57,18 +57,20 @@
 struct ClaimRow {
     instance: String,
     incarnation: String,
-    token: u64,
+    claim: u64,
 }
 
 impl ClaimRow {
-    /// The incarnation that wrote the row; none when it is malformed.
-    fn identity(value: &[u8]) -> Option<PeerIdentity> {
+    /// The incarnation that wrote the row and its claim; none when it is malformed.
+    fn end(value: &[u8]) -> Option<ClaimEnd> {
         let row = serde_json::from_slice::<ClaimRow>(value).ok()?;
         let incarnation = u64::from_str_radix(&row.incarnation, 16).ok()?;
-        Some(PeerIdentity {
+        let home = PeerIdentity {
             instance: Arc::from(row.instance),
             incarnation: Incarnation(incarnation),
-        })
+        };
+        let claim = row.claim;
+        Some(ClaimEnd::Theirs { home, claim })
     }
 }
 
@@ -84,7 +86,6 @@
     write_period: Duration,
     next_write: Timestamp,
     refuse_until: Timestamp,
-    next_token: u64,
 }
 
 impl ClaimQueue {
@@ -116,7 +117,6 @@
                 / u32::try_from(settings.claim_writes_per_second).unwrap_or(u32::MAX),
             next_write: Timestamp::ZERO,
             refuse_until: Timestamp::ZERO,
-            next_token: 1,
         };
         (ClaimQueue(sender), writer)
     }
@@ -161,13 +161,12 @@
         }
     }
 
-    fn row(&mut self, request: &ClaimRequest) -> NewRow {
+    fn row(&self, request: &ClaimRequest) -> NewRow {
         let value = ClaimRow {
             instance: self.identity.instance.to_string(),
             incarnation: self.identity.incarnation.to_string(),
-            token: self.next_token,
+            claim: request.claim,
         };
-        self.next_token += 1;
         NewRow {
             key: request.key.0.clone(),
             value: serde_json::to_vec(&value)
@@ -179,7 +178,7 @@
     async fn report(&self, request: &ClaimRequest, end: ClaimEnd) {
         self.metrics.count_claim(match end {
             ClaimEnd::Ours => "ours",
-            ClaimEnd::Theirs(_) => "theirs",
+            ClaimEnd::Theirs { .. } => "theirs",
             ClaimEnd::Unclaimed | ClaimEnd::Unavailable => "unavailable",
         });
         let claim = request.claim;
@@ -195,10 +194,7 @@
 }
 
 fn row_end(value: &[u8]) -> ClaimEnd {
-    match ClaimRow::identity(value) {
-        Some(identity) => ClaimEnd::Theirs(identity),
-        None => ClaimEnd::Unavailable,
-    }
+    ClaimRow::end(value).unwrap_or(ClaimEnd::Unavailable)
 }
 
 /// Reads who claimed a key.
--- a/lib/src/claiming.rs
+++ b/lib/src/claiming.rs
@@ -28,6 +28,7 @@
             return;
         };
         let claim = self.insert_claim(PendingClaim::Job(job));
+        self.jobs[job].first_claim.get_or_insert(claim);
         self.actions.push(Action::Claim {
             claim,
             team: team.clone(),
@@ -89,7 +90,7 @@
                 job.stage = JobStage::Open;
                 self.enqueue(key);
             }
-            ClaimEnd::Theirs(home) => self.claimed_elsewhere(key, &home),
+            ClaimEnd::Theirs { home, claim } => self.claimed_before(key, &home, claim),
             ClaimEnd::Unclaimed | ClaimEnd::Unavailable => {
                 self.end_job(
                     key,
@@ -102,10 +103,15 @@
         }
     }
 
-    fn claimed_elsewhere(&mut self, key: JobKey, home: &PeerIdentity) {
+    fn claimed_before(&mut self, key: JobKey, home: &PeerIdentity, claim: u64) {
         if home.incarnation == self.config.incarnation {
-            return self.claimed_before(key);
+            self.claimed_here(key, claim);
+        } else {
+            self.claimed_elsewhere(key, home);
         }
+    }
+
+    fn claimed_elsewhere(&mut self, key: JobKey, home: &PeerIdentity) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -124,20 +130,19 @@
         }
     }
 
-    /// The row carries this incarnation, but an earlier claim of it.
-    fn claimed_before(&mut self, key: JobKey) {
+    /// The row carries an earlier claim of this incarnation; the job may run only when nothing
+    /// ran under the key since that claim.
+    fn claimed_here(&mut self, key: JobKey, claim: u64) {
+        let job = &mut self.jobs[key];
+        if job.first_claim.is_some_and(|first| claim >= first) {
+            job.stage = JobStage::Open;
+            return self.enqueue(key);
+        }
         let answer = JobAnswer::Failed {
             reason: FailReason::AnswerExpired,
             task: None,
             retry_after: None,
         };
-        let Some(job) = self.jobs.get(key) else {
-            return;
-        };
-        if job.claim_unresolved {
-            self.jobs[key].stage = JobStage::Open;
-            return self.enqueue(key);
-        }
         self.end_job(key, answer);
     }
 
@@ -179,10 +184,10 @@
         end: ClaimEnd,
     ) {
         match end {
-            ClaimEnd::Theirs(home) if home.incarnation != self.config.incarnation => {
+            ClaimEnd::Theirs { home, .. } if home.incarnation != self.config.incarnation => {
                 self.forward(waiter, home.instance, home.incarnation, address, request);
             }
-            ClaimEnd::Theirs(_) | ClaimEnd::Ours => {
+            ClaimEnd::Theirs { .. } | ClaimEnd::Ours => {
                 self.answer_failed(waiter, FailReason::AnswerExpired, None);
             }
             ClaimEnd::Unclaimed => self.answer_not_run(waiter, NotRunReason::NotSubmitted, None),
--- a/lib/src/ending.rs
+++ b/lib/src/ending.rs
@@ -80,6 +80,7 @@
         let waiters = std::mem::take(waiters);
         let address = address.clone();
         let claiming = job.stage == JobStage::Claiming;
+        let unresolved = job.first_claim.filter(|_| claiming);
         let answer = Arc::new(answer);
         job.stage = JobStage::Ended;
         job.tasks = Vec::new();
@@ -88,7 +89,7 @@
         for waiter in waiters {
             self.answer(waiter, answer.clone());
         }
-        self.keep_answer(key, &address, &answer, claiming);
+        self.keep_answer(key, &address, &answer, unresolved);
     }
 
     fn keep_answer(
@@ -96,7 +97,7 @@
         key: JobKey,
         address: &JobAddress,
         answer: &JobAnswer,
-        claiming: bool,
+        unresolved: Option<u64>,
     ) {
         match answer {
             _ if *address == JobAddress::Single => {
@@ -104,7 +105,7 @@
             }
             JobAnswer::NotRun { reason, .. } => {
                 let cancelled = *reason == NotRunReason::Cancelled;
-                self.free_address(address, cancelled, claiming);
+                self.free_address(address, cancelled, unresolved);
                 self.jobs.remove(key);
             }
             JobAnswer::Complete { .. } | JobAnswer::Failed { .. } => {
@@ -115,7 +116,7 @@
     }
 
     /// Lets an address run a job again after one of which nothing ran.
-    fn free_address(&mut self, address: &JobAddress, cancelled: bool, claiming: bool) {
+    fn free_address(&mut self, address: &JobAddress, cancelled: bool, unresolved: Option<u64>) {
         if let JobAddress::Session { session, number } = address {
             let state = if cancelled {
                 NumberState::Cancelled
@@ -124,10 +125,9 @@
             };
             self.sessions.set(session.number, *number, state);
         }
-        let state = if claiming {
-            KeyState::Unresolved
-        } else {
-            KeyState::OwnedNotRun
+        let state = match unresolved {
+            Some(first_claim) => KeyState::Unresolved { first_claim },
+            None => KeyState::OwnedNotRun,
         };
         self.set_key_state(address, state);
     }
@@ -318,7 +318,7 @@
             KeyState::OwnedNotRun => {
                 self.answer_not_run(waiter.clone(), NotRunReason::NotSubmitted, None);
             }
-            KeyState::Unknown | KeyState::Unresolved => {
+            KeyState::Unknown | KeyState::Unresolved { .. } => {
                 if matches!(waiter, Waiter::Sibling { .. }) {
                     self.answer_failed(waiter.clone(), FailReason::AnswerExpired, None);
                 } else {
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -111,8 +111,13 @@
 pub enum ClaimEnd {
     /// The key is ours; the job may start.
     Ours,
-    /// The key belongs to another incarnation, which is the job's home.
-    Theirs(PeerIdentity),
+    /// The key was claimed before, by the incarnation that is the job's home.
+    Theirs {
+        /// The home, which may be this incarnation.
+        home: PeerIdentity,
+        /// The home's number of the claim that took effect.
+        claim: u64,
+    },
     /// Nobody claimed the key; only [`crate::action::Action::FindHome`] ends so.
     Unclaimed,
     /// The table could not be reached, and the key is not known to be ours.
--- a/lib/src/job.rs
+++ b/lib/src/job.rs
@@ -118,8 +118,8 @@
     pub(crate) ran: bool,
     /// Tasks of the whole job that had not ended when it came in, beyond those here.
     pub(crate) remaining_elsewhere: u32,
-    /// Whether an earlier claim of its key by this incarnation may have taken effect.
-    pub(crate) claim_unresolved: bool,
+    /// The first claim of its key since when nothing ran under the key here.
+    pub(crate) first_claim: Option<u64>,
     pub(crate) answer: Option<Arc<JobAnswer>>,
 }
 
--- a/lib/src/key_table.rs
+++ b/lib/src/key_table.rs
@@ -25,8 +25,11 @@
     Job(JobKey),
     /// The key is ours, and nothing ran under it.
     OwnedNotRun,
-    /// Our claim may have taken effect or not, and nothing ran under it.
-    Unresolved,
+    /// Claims of ours may have taken effect or not, and nothing ran under the key since.
+    Unresolved {
+        /// The number of the first of these claims.
+        first_claim: u64,
+    },
 }
 
 #[derive(Debug)]
--- a/lib/src/submitting.rs
+++ b/lib/src/submitting.rs
@@ -104,13 +104,10 @@
         match self.keys.state(name) {
             KeyState::Job(job) => self.join(waiter, job, Some(fingerprint(submission))),
             KeyState::OwnedNotRun => self.open_job(waiter, address, submission, JobStage::Open),
-            KeyState::Unresolved if forwarded => {
-                self.open_job(waiter, address, submission, JobStage::Open);
-            }
             KeyState::Unknown if forwarded => {
                 self.answer_failed(waiter, FailReason::AnswerExpired, None);
             }
-            KeyState::Unknown | KeyState::Unresolved => {
+            KeyState::Unknown | KeyState::Unresolved { .. } => {
                 self.open_job(waiter, address, submission, JobStage::Claiming);
             }
         }
@@ -212,7 +209,7 @@
             in_flight: 0,
             ran: false,
             remaining_elsewhere: 0,
-            claim_unresolved: false,
+            first_claim: None,
             answer: None,
         });
         self.open_jobs += 1;
@@ -253,7 +250,9 @@
                     team: team.clone(),
                     key: name.clone(),
                 };
-                self.jobs[key].claim_unresolved = self.keys.state(&name) == KeyState::Unresolved;
+                if let KeyState::Unresolved { first_claim } = self.keys.state(&name) {
+                    self.jobs[key].first_claim = Some(first_claim);
+                }
                 let never = Timestamp::from_us(u64::MAX);
                 self.keys.set(name, KeyState::Job(key), never);
             }
--- a/lib/testsupport/src/core_fakes.rs
+++ b/lib/testsupport/src/core_fakes.rs
@@ -464,7 +464,7 @@
         }
         let answer = match (end, row) {
             (TableEnd::ApplyAndLose | TableEnd::Unavailable, _) => ClaimEnd::Unavailable,
-            (TableEnd::Answer, Some((home, _))) => ClaimEnd::Theirs(home),
+            (TableEnd::Answer, Some((home, claim))) => ClaimEnd::Theirs { home, claim },
             (TableEnd::Answer, None) if open.writes => ClaimEnd::Ours,
             (TableEnd::Answer, None) => ClaimEnd::Unclaimed,
         };
