testsupport: record when a task started and in which trace

Whether a leaving upstream still gets work after a few seconds, and whether a trace goes through to the upstream, must be read off the witness too.

--- a/lib/testsupport/src/upstream/handler.rs
+++ b/lib/testsupport/src/upstream/handler.rs
@@ -24,6 +24,7 @@
 
 const TASK_ID: &str = "task-id";
 const TASK_NOT_RUN: &str = "task-not-run";
+const TRACEPARENT: &str = "traceparent";
 const WRONG_TASK_ID: &str = "another-task";
 
 /// Serves the interface.
@@ -49,7 +50,8 @@
         let Ok(input) = conn.request_body().read_bytes().await else {
             return conn.with_status(Status::BadRequest);
         };
-        match self.state.admit(&task_id) {
+        let traceparent = header(&conn, TRACEPARENT);
+        match self.state.admit(&task_id, traceparent) {
             Admission::Refused => conn
                 .with_status(Status::ServiceUnavailable)
                 .with_response_header(TASK_ID, task_id.clone())
@@ -136,6 +138,7 @@
                 self.state.set_faults(faults);
                 conn.ok("{}")
             }
+            (Method::Get, "/v1/counters") => conn.ok(to_json(&self.state.counters())),
             (Method::Get, "/v1/starts") => conn.ok(to_json(&self.state.report())),
             _ => conn.with_status(Status::NotFound),
         }
--- a/lib/testsupport/src/upstream/messages.rs
+++ b/lib/testsupport/src/upstream/messages.rs
@@ -45,6 +45,10 @@
     pub finishes: u64,
     /// How often it was stopped while it ran.
     pub stops: u64,
+    /// When it last started, in milliseconds since the Unix epoch.
+    pub last_started_at_ms: u64,
+    /// The trace context of its last request, if it had one.
+    pub traceparent: Option<String>,
 }
 
 /// What the stand-in did, and each fault that really happened.
@@ -53,6 +57,10 @@
 pub struct UpstreamCounters {
     /// Requests to run a task.
     pub requests: u64,
+    /// Tasks started.
+    pub starts: u64,
+    /// Starts of a task that had started before.
+    pub repeated_starts: u64,
     /// Requests to stop tasks.
     pub stop_requests: u64,
     /// Tasks refused as all slots were taken.
--- a/lib/testsupport/src/upstream/stand_in.rs
+++ b/lib/testsupport/src/upstream/stand_in.rs
@@ -9,6 +9,7 @@
 use super::faults::UpstreamFaults;
 use super::handler::UpstreamHandler;
 use super::messages::StartsReport;
+use super::messages::UpstreamCounters;
 use super::state::UpstreamState;
 use crate::server::Server;
 
@@ -62,6 +63,11 @@
         self.state.report()
     }
 
+    /// Returns what it did in all.
+    pub fn counters(&self) -> UpstreamCounters {
+        self.state.counters()
+    }
+
     /// Returns how often a task started.
     pub fn starts(&self, task_id: &str) -> u64 {
         let report = self.report();
--- a/lib/testsupport/src/upstream/state.rs
+++ b/lib/testsupport/src/upstream/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use almondhead_net::unix_time_ms;
 use async_channel::Receiver;
 use async_channel::Sender;
 use indexmap::IndexMap;
@@ -66,7 +67,7 @@
     }
 
     /// Records the start of a task, if the guard and the faults let it start.
-    pub(crate) fn admit(self: &Arc<Self>, task_id: &str) -> Admission {
+    pub(crate) fn admit(self: &Arc<Self>, task_id: &str, traceparent: Option<String>) -> Admission {
         let mut inner = lock(&self.inner);
         inner.counters.requests += 1;
         let faults = inner.faults.take();
@@ -80,6 +81,7 @@
         }
         let (stop, stopped) = async_channel::bounded(1);
         let run = inner.start(task_id, stop);
+        inner.task(task_id).traceparent = traceparent;
         Admission::Started(TaskRun {
             state: Arc::clone(self),
             run,
@@ -105,6 +107,10 @@
         count(&mut lock(&self.inner).counters);
     }
 
+    pub(crate) fn counters(&self) -> UpstreamCounters {
+        lock(&self.inner).counters.clone()
+    }
+
     pub(crate) fn report(&self) -> StartsReport {
         let inner = lock(&self.inner);
         StartsReport {
@@ -124,7 +130,12 @@
             stop,
         });
         self.counters.running_peak = self.counters.running_peak.max(self.running.len() as u64);
-        self.task(task_id).starts += 1;
+        let task = self.task(task_id);
+        task.starts += 1;
+        task.last_started_at_ms = unix_time_ms();
+        let repeated = task.starts > 1;
+        self.counters.starts += 1;
+        self.counters.repeated_starts += u64::from(repeated);
         run
     }
 
--- a/lib/testsupport/tests/upstream_faults.rs
+++ b/lib/testsupport/tests/upstream_faults.rs
@@ -204,3 +204,22 @@
         assert_eq!((record.starts, record.finishes, record.stops), (1, 0, 1));
     });
 }
+
+#[test]
+fn repeated_start_is_recorded() {
+    smol::block_on(async {
+        let upstream = UpstreamStandIn::start(UpstreamSettings::default())
+            .await
+            .unwrap();
+        let client = HttpClient::new(HttpSettings::default());
+        for _ in 0..2 {
+            let answer = run_task(&client, upstream.address(), "a", "{}").await;
+            assert_eq!(answer.unwrap().status, 200);
+        }
+        let counters = upstream.counters();
+        assert_eq!((counters.starts, counters.repeated_starts), (2, 1));
+        let record = &upstream.report().tasks[0];
+        assert!(record.last_started_at_ms > 0);
+        assert_eq!(record.traceparent, None);
+    });
+}
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -4,6 +4,7 @@
 mod http;
 mod path_segment;
 mod platform;
+mod unix_time;
 
 pub use crate::http::ExchangeError;
 pub use crate::http::Failure;
@@ -34,6 +35,7 @@
 pub use crate::platform::Row;
 pub use crate::platform::compare_and_set_resolved;
 pub use crate::platform::insert_resolved;
+pub use crate::unix_time::unix_time_ms;
 pub use bytes::Bytes;
 pub use hyper::HeaderMap;
 pub use hyper::Method;
--- a/net/src/platform/memory_platform.rs
+++ b/net/src/platform/memory_platform.rs
@@ -3,8 +3,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use futures_lite::future::ready;
@@ -18,6 +16,7 @@
 use super::row::InsertResult;
 use super::row::NewRow;
 use super::row::Row;
+use crate::unix_time::unix_time_ms;
 
 /// A platform that lives in memory and never fails: for tests, and behind the stand-in server.
 #[derive(Default)]
@@ -122,7 +121,7 @@
 
     fn list_instances(&self) -> PlatformFuture<'_, InstanceList> {
         let list = InstanceList {
-            listed_at_ms: now_ms(),
+            listed_at_ms: unix_time_ms(),
             instances: self.state().instances.values().cloned().collect(),
         };
         Box::pin(ready(Ok(list)))
@@ -134,10 +133,3 @@
         Box::pin(ready(Ok(())))
     }
 }
-
-fn now_ms() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
-}
