--- a/ctl/src/load_options.rs
+++ b/ctl/src/load_options.rs
@@ -86,8 +86,6 @@
     pub follow_retry: bool,
     /// The seed of all that is drawn.
     pub seed: u64,
-    /// Whether the report is JSON.
-    pub json: bool,
 }
 
 impl LoadOptions {
@@ -102,7 +100,6 @@
                 "Send refused jobs again when they are told to",
             ))
             .arg(count("seed", "1", "Seed of all that is drawn"))
-            .arg(flag("json", "Report in JSON"))
     }
 
     /// Reads the arguments.
@@ -139,7 +136,7 @@
                 true => Some(positive(matches, "declared-factor")?),
                 false => None,
             },
-            timeout: Duration::from_millis(bounded(matches, "timeout-ms", 1, 3_600_000)?),
+            timeout: Duration::from_millis(bounded(matches, "job-timeout-ms", 1, 3_600_000)?),
             round_trips: Duration::from_secs_f64(positive(matches, "round-trips-ms")? / 1e3),
             burst_factor,
             burst: (burst_factor > 1.0).then_some(burst),
@@ -147,7 +144,6 @@
             cancel_share: share(matches, "cancel-share")?,
             follow_retry: matches.get_flag("follow-retry"),
             seed: first(matches, "seed"),
-            json: matches.get_flag("json"),
         })
     }
 }
@@ -183,7 +179,7 @@
         number("run-scale", "1", "Stretches every run time"),
         number("declared-factor", "", "Declared over true run time"),
         count(
-            "timeout-ms",
+            "job-timeout-ms",
             "10000",
             "Time that each job is given, in milliseconds",
         ),
--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -1,37 +1,234 @@
-//! Teams by their fair share, then the job with the fewest remaining tasks.
+//! The job with the fewest remaining tasks, with fair shares for teams and ageing.
 
 use std::time::Duration;
 
+use almondhead_macros::value;
+use slotmap::SecondaryMap;
+
 use crate::keys::JobKey;
 use crate::keys::TeamKey;
-use crate::ordered_jobs::OrderedJobs;
+use crate::ordered_jobs::Place;
+use crate::ordered_jobs::PlacedJob;
 use crate::queue::JobQueue;
 use crate::queue::QueueEntry;
 use crate::queue::SCAN_LIMIT;
+use crate::team_share::TeamShare;
+use crate::team_usage::SizeClass;
 use crate::time::Timestamp;
 
-/// Serves teams by their share and, among those within it, the job with the fewest remaining tasks.
+/// The tasks by which a team's jobs are put back when it has had all recent service.
+pub const FULL_SHARE_PENALTY_TASKS: u32 = 4_000;
+
+/// Every how many starts the job that waits longest goes first.
+pub const OLDEST_EVERY: u32 = 16;
+
+/// The time in which the memory of service falls to a factor of 1/e.
+const USAGE_DECAY: Duration = Duration::from_secs(2);
+
+/// The time between two steps of that decay.
+const DECAY_STEP: Duration = Duration::from_millis(40);
+
+/// How much a [`FairQueue`] gives up of one order for another.
+#[value]
+#[derive(Copy)]
+pub struct FairSettings {
+    /// The tasks by which a team's jobs are put back when it has had all recent service.
+    pub full_share_penalty_tasks: u32,
+    /// Every how many starts the job that waits longest goes first; zero for never.
+    pub oldest_every: u32,
+}
+
+impl Default for FairSettings {
+    fn default() -> Self {
+        FairSettings {
+            full_share_penalty_tasks: FULL_SHARE_PENALTY_TASKS,
+            oldest_every: OLDEST_EVERY,
+        }
+    }
+}
+
+/// Where a queued job is to be found.
+#[derive(Clone, Copy, Debug)]
+struct QueuedJob {
+    team: TeamKey,
+    arrival: u64,
+}
+
+/// Serves the job with the fewest remaining tasks, put back by what its team was served of late.
+///
+/// A job counts as larger than it is by the square of its team's share of the recent service, each
+/// share divided by the team's weight. Only service to jobs of this size and smaller ones is
+/// counted, so a team's large jobs do not hold up its small ones, and a team that floods with
+/// small jobs falls behind the others' large ones.
+///
+/// One start in [`FairSettings::oldest_every`] goes to the job that arrived first, so no job
+/// starves, and the rest of the starts are not slowed down by jobs that wait long.
 #[derive(Debug, Default)]
 pub struct FairQueue {
-    jobs: OrderedJobs,
+    settings: FairSettings,
+    jobs: SecondaryMap<JobKey, QueuedJob>,
+    teams: SecondaryMap<TeamKey, TeamShare>,
+    served_us: f64,
+    decayed_at: Timestamp,
+    arrivals: u64,
+    starts: u32,
+}
+
+impl FairQueue {
+    /// An empty queue with these settings.
+    pub fn new(settings: FairSettings) -> Self {
+        FairQueue {
+            settings,
+            ..FairQueue::default()
+        }
+    }
+
+    /// Lets the memory of service fade up to `now`.
+    fn decay(&mut self, now: Timestamp) {
+        let elapsed = now.since(self.decayed_at);
+        if elapsed < DECAY_STEP {
+            return;
+        }
+        let factor = (-elapsed.as_secs_f64() / USAGE_DECAY.as_secs_f64()).exp();
+        for team in self.teams.values_mut() {
+            team.usage.decay(factor);
+        }
+        self.served_us *= factor;
+        self.decayed_at = now;
+    }
+
+    /// The mean weight of the teams seen, by which the weights' scale cancels out.
+    fn mean_weight(&self) -> f64 {
+        let total: f64 = self.teams.values().map(|team| f64::from(team.weight)).sum();
+        total / self.teams.len().max(1) as f64
+    }
+
+    /// The place of a team's job among the jobs of all teams.
+    fn put_back(&self, team: &TeamShare, placed: PlacedJob) -> PlacedJob {
+        let class = SizeClass::of(placed.place.rank);
+        let share = team.usage.up_to_us(class) / self.served_us.max(1.0);
+        let penalty = share * share * f64::from(self.settings.full_share_penalty_tasks);
+        let place = Place {
+            rank: placed.place.rank.saturating_add(penalty as u64),
+            ..placed.place
+        };
+        PlacedJob { place, ..placed }
+    }
+
+    /// The job that arrived first, when this start is one for it.
+    fn oldest_in_turn(&self) -> Option<JobKey> {
+        if self.starts == 0 || !self.starts.is_multiple_of(self.settings.oldest_every) {
+            return None;
+        }
+        let oldest = self.teams.values().filter_map(TeamShare::oldest).min()?;
+        Some(oldest.job)
+    }
+
+    /// The first job in order, apart from turns of the oldest.
+    fn first(&self) -> Option<JobKey> {
+        self.teams
+            .values()
+            .filter_map(|team| Some(self.put_back(team, team.fewest()?)))
+            .min()
+            .map(|placed| placed.job)
+    }
+
+    /// The first of at most [`SCAN_LIMIT`] jobs that `fits`, in the order of [`Self::first`].
+    fn scan(&self, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
+        let mut cursors: Vec<_> = self
+            .teams
+            .values()
+            .filter(|team| team.fewest().is_some())
+            .map(|team| {
+                let jobs = team.jobs().map(|placed| self.put_back(team, placed));
+                jobs.peekable()
+            })
+            .collect();
+        for _ in 0..SCAN_LIMIT {
+            let (_, cursor) = cursors
+                .iter_mut()
+                .filter_map(|cursor| Some((*cursor.peek()?, cursor)))
+                .min_by_key(|(placed, _)| *placed)?;
+            let job = cursor.next()?.job;
+            if fits(job) {
+                return Some(job);
+            }
+        }
+        None
+    }
+
+    /// The first job that `fits`, whoever's turn it is.
+    fn first_fitting(&self, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
+        if let Some(oldest) = self.oldest_in_turn()
+            && fits(oldest)
+        {
+            return Some(oldest);
+        }
+        let first = self.first()?;
+        if fits(first) {
+            return Some(first);
+        }
+        self.scan(&mut |job| job != first && fits(job))
+    }
 }
 
 impl JobQueue for FairQueue {
     fn insert(&mut self, _now: Timestamp, entry: QueueEntry) {
-        self.jobs.insert(entry.job, u64::from(entry.remaining));
+        self.remove(entry.job);
+        self.arrivals += 1;
+        let place = Place {
+            rank: u64::from(entry.remaining),
+            arrival: self.arrivals,
+        };
+        if !self.teams.contains_key(entry.team) {
+            self.teams.insert(entry.team, TeamShare::default());
+        }
+        let team = &mut self.teams[entry.team];
+        team.weight = entry.weight.max(1);
+        team.insert(entry.job, place);
+        let queued = QueuedJob {
+            team: entry.team,
+            arrival: self.arrivals,
+        };
+        self.jobs.insert(entry.job, queued);
     }
 
-    fn update(&mut self, _job: JobKey, _remaining: u32) {}
+    fn update(&mut self, job: JobKey, remaining: u32) {
+        let Some(queued) = self.jobs.get(job) else {
+            return;
+        };
+        let place = Place {
+            rank: u64::from(remaining),
+            arrival: queued.arrival,
+        };
+        self.teams[queued.team].update(job, place);
+    }
 
     fn remove(&mut self, job: JobKey) {
-        self.jobs.remove(job);
+        let Some(queued) = self.jobs.remove(job) else {
+            return;
+        };
+        self.teams[queued.team].remove(job);
     }
 
-    fn next(&mut self, _now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
-        self.jobs.first_fitting(SCAN_LIMIT, fits)
+    fn next(&mut self, now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
+        self.decay(now);
+        let job = self.first_fitting(fits)?;
+        self.starts = self.starts.wrapping_add(1);
+        let team = self.jobs[job].team;
+        self.teams[team].note_start(job);
+        Some(job)
     }
 
-    fn charge(&mut self, _team: TeamKey, _weight: u32, _cost: Duration) {}
+    fn charge(&mut self, team: TeamKey, weight: u32, cost: Duration) {
+        let relative_weight = f64::from(weight.max(1)) / self.mean_weight().max(1.0);
+        let share_us = cost.as_secs_f64() * 1e6 / relative_weight;
+        let Some(team) = self.teams.get_mut(team) else {
+            return;
+        };
+        team.charge(share_us);
+        self.served_us += share_us;
+    }
 
     fn jobs(&self) -> usize {
         self.jobs.len()
