measure: run a whole site of real processes against a baseline

The entries count the messages that their decisions cause by kind, which the wasted messages per task are worked out from.

--- /dev/null
+++ b/ctl/examples/measure/row.rs
@@ -0,0 +1,59 @@
+//! The table of results.
+
+use almondhead_ctl::load_report::LoadReport;
+use almondhead_macros::message;
+
+/// One scenario under one set of policies.
+#[message]
+pub(crate) struct Row {
+    /// The scenario's name.
+    pub(crate) scenario: String,
+    /// The policies' name.
+    pub(crate) policies: String,
+    /// The most starts of one task that the upstreams recorded.
+    pub(crate) most_starts_of_one_task: u64,
+    /// What the load driver measured.
+    pub(crate) report: LoadReport,
+}
+
+const HEADER: &str = "\
+| scenario | policies | singles p50 | p99 | p99.9 | jobs p50 | p99 | p99.9 | wasted | goodput \
+| complete | not run | failed | no answer | refused in ms p99 | most starts |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+
+/// Prints the rows as a table of Markdown.
+pub(crate) fn print_rows(rows: &[Row]) {
+    println!("{HEADER}");
+    for row in rows {
+        let report = &row.report;
+        let (singles, jobs) = (report.singles_over_ideal, report.jobs_over_ideal);
+        let wasted = report.messages.as_ref().map(|m| m.wasted_per_task);
+        print!("| {} | {} ", row.scenario, row.policies);
+        print!(
+            "| {:.3} | {:.3} | {:.3} ",
+            singles.p50, singles.p99, singles.p999
+        );
+        print!("| {:.3} | {:.3} | {:.3} ", jobs.p50, jobs.p99, jobs.p999);
+        print!(
+            "| {:.3} | {:.3} ",
+            wasted.unwrap_or(f64::NAN),
+            report.goodput
+        );
+        for kind in ["complete", "not_run", "failed"] {
+            print!("| {} ", ends_of(report, kind));
+        }
+        print!(
+            "| {} ",
+            ends_of(report, "broken") + ends_of(report, "unreadable")
+        );
+        print!("| {:.1} ", report.refusal_ms.p99);
+        println!("| {} |", row.most_starts_of_one_task);
+    }
+}
+
+fn ends_of(report: &LoadReport, kind: &str) -> u64 {
+    let ends = report.ends.iter();
+    ends.filter(|(end, _)| end.split(':').next() == Some(kind))
+        .map(|(_, jobs)| jobs)
+        .sum()
+}
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -27,6 +27,7 @@
     attempts: IntCounterVec,
     claims: IntCounterVec,
     peer_messages: IntCounterVec,
+    messages: IntCounterVec,
     request_seconds: Histogram,
     revision: IntGauge,
     leaving: IntGauge,
@@ -78,6 +79,11 @@
                 "Claims of idempotency keys by their end.",
                 "end",
             )?,
+            messages: counters(
+                "almondhead_messages_total",
+                "Messages that the decisions of this instance caused.",
+                "kind",
+            )?,
             peer_messages: counters(
                 "almondhead_peer_messages_total",
                 "Messages of the transport between entry instances.",
@@ -119,18 +125,22 @@
         peers: &PeerCounters,
     ) -> Result<Vec<u8>, prometheus::Error> {
         self.set_gauges(status);
-        self.copy_counters(peers);
+        self.copy_counters(status, peers);
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
         Ok(text)
     }
 
-    /// Brings the counters of peer messages up to those of the transport.
-    fn copy_counters(&self, peers: &PeerCounters) {
+    /// Brings the counters of messages up to those of the transport and the dispatcher.
+    fn copy_counters(&self, status: &DriverStatus, peers: &PeerCounters) {
         for count in PeerCount::ALL {
             let counter = self.0.peer_messages.with_label_values(&[count.label()]);
             counter.inc_by(peers.get(count).saturating_sub(counter.get()));
         }
+        for (kind, messages) in status.dispatcher.messages.by_kind() {
+            let counter = self.0.messages.with_label_values(&[kind]);
+            counter.inc_by(messages.saturating_sub(counter.get()));
+        }
     }
 
     fn set_gauges(&self, status: &DriverStatus) {
--- a/lib/src/message_counts.rs
+++ b/lib/src/message_counts.rs
@@ -28,6 +28,22 @@
 }
 
 impl MessageCounts {
+    /// Each count with the name of its kind.
+    pub const fn by_kind(&self) -> [(&'static str, u64); 10] {
+        [
+            ("attempt", self.attempts),
+            ("upstream_answer", self.upstream_answers),
+            ("refusal", self.refusals),
+            ("retry", self.retries),
+            ("forward", self.forwards),
+            ("forward_answer", self.forward_answers),
+            ("batch", self.batches),
+            ("batch_answer", self.batch_answers),
+            ("cancel", self.cancels),
+            ("control", self.control),
+        ]
+    }
+
     pub(crate) fn count_sent(&mut self, message: &PeerMessage) {
         let counter = match message {
             PeerMessage::ForwardRequest { .. } => &mut self.forwards,
