--- a/ctl/src/cli.rs
+++ b/ctl/src/cli.rs
@@ -11,6 +11,7 @@
 use crate::exit::EXIT_CODES_HELP;
 use crate::exit::Exit;
 use crate::history_command;
+use crate::load;
 use crate::schema_command;
 use crate::show_command;
 use crate::status_command;
@@ -39,6 +40,7 @@
         .subcommand(history_command::command())
         .subcommand(status_command::command())
         .subcommand(diff_command::command())
+        .subcommand(load::command())
         .subcommand(schema_command::command())
         .subcommand(completions_command::command());
     let command = command.mut_subcommands(|subcommand| subcommand.after_help(EXIT_CODES_HELP));
@@ -56,6 +58,7 @@
         history_command::NAME => history_command::run(&context, arguments).await,
         status_command::NAME => status_command::run(&context, arguments).await,
         diff_command::NAME => diff_command::run(&context, arguments).await,
+        load::NAME => load::run(&context, arguments),
         schema_command::NAME => schema_command::run(),
         completions_command::NAME => completions_command::run(arguments),
         _ => unreachable!("every subcommand is listed"),
--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -9,6 +9,7 @@
 use derive_more::Error;
 
 use crate::exit::Exit;
+use crate::load_error::LoadError;
 
 /// A command that could not be done.
 #[derive(Debug, Display, Error)]
@@ -51,6 +52,12 @@
         /// What failed, with the step and the peer.
         source: Box<PlatformError>,
     },
+    /// No load could be offered.
+    #[display("{source}")]
+    Load {
+        /// Why not, with the step and the peer.
+        source: LoadError,
+    },
 }
 
 impl CtlError {
@@ -63,6 +70,10 @@
             Self::WriteResult { .. } => Exit::Usage,
             Self::Store { source } => store_exit(source),
             Self::List { .. } => Exit::NotReached,
+            Self::Load { source } => match source {
+                LoadError::Option { .. } => Exit::Usage,
+                LoadError::Session { .. } | LoadError::Metrics { .. } => Exit::NotReached,
+            },
         }
     }
 }
@@ -81,6 +92,12 @@
     }
 }
 
+impl From<LoadError> for CtlError {
+    fn from(source: LoadError) -> Self {
+        Self::Load { source }
+    }
+}
+
 fn store_exit(error: &DocumentStoreError) -> Exit {
     match error {
         DocumentStoreError::Platform { .. } | DocumentStoreError::Unknown { .. } => {
--- a/ctl/src/exit.rs
+++ b/ctl/src/exit.rs
@@ -15,7 +15,7 @@
     Usage,
     /// Another submission was accepted before.
     LostRace,
-    /// The platform did not answer as needed.
+    /// The platform, or an entry instance, did not answer as needed.
     NotReached,
 }
 
@@ -26,7 +26,7 @@
   1  faults found: in a document, or an entry instance is not ready or holds another revision
   2  the arguments, or the files or revisions that they name, cannot be used
   3  another submission was accepted before; nothing was changed
-  4  the platform did not answer as needed; the message says whether something may have changed";
+  4  the platform or an entry did not answer as needed; the message says whether something may have changed";
 
 impl From<Exit> for ExitCode {
     fn from(exit: Exit) -> Self {
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -29,6 +29,7 @@
 
 use std::ffi::OsString;
 use std::process::ExitCode;
+
 /// Runs the program with its arguments, the first being its own name.
 ///
 /// Results go to the standard output, errors with their step and peer to the standard error.
@@ -48,6 +49,7 @@
         }
     }
 }
+
 fn exit_code(result: Result<exit::Exit, error::CtlError>) -> ExitCode {
     let exit = result.unwrap_or_else(|error| {
         eprintln!("almondctl: {error}");
