--- a/lib/src/check.rs
+++ b/lib/src/check.rs
@@ -88,6 +88,13 @@
     }
 }
 
+/// The tree of a text within the bounds; none where it has a syntax error.
+pub(crate) fn parse_value(text: &str) -> Option<Value<'_>> {
+    check_size(text).ok()?;
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &strict_options());
+    parsed.ok()?.value
+}
+
 fn check_size(text: &str) -> Result<(), String> {
     if text.len() > MAX_DOCUMENT_BYTES {
         let bytes = text.len();
@@ -104,7 +111,8 @@
     Ok(())
 }
 
-fn strict_options() -> ParseOptions {
+/// JSON with comments and trailing commas, and no other laxity.
+pub(crate) fn strict_options() -> ParseOptions {
     ParseOptions {
         allow_comments: true,
         allow_trailing_commas: true,
--- a/lib/src/check_cursor.rs
+++ b/lib/src/check_cursor.rs
@@ -53,6 +53,21 @@
         format!("{}/{}", self.path, escape_pointer(name))
     }
 
+    /// The value at a JSON pointer from this one.
+    pub(crate) fn at(&self, pointer: &str) -> Option<Cursor<'t>> {
+        let mut cursor = self.clone();
+        for part in pointer.split('/').skip(1) {
+            cursor = match cursor.value.as_array() {
+                Some(array) => {
+                    let index: usize = part.parse().ok()?;
+                    cursor.elements(array).into_iter().nth(index)?
+                }
+                None => cursor.field(&part.replace("~1", "/").replace("~0", "~"))?,
+            };
+        }
+        Some(cursor)
+    }
+
     /// The elements of a list that is a property of this object; none when it is no list.
     pub(crate) fn items(&self, name: &str) -> Vec<Cursor<'t>> {
         let Some(list) = self.field(name) else {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod dispatcher;
 pub mod document;
 pub mod document_diff;
+pub mod document_edit;
 pub mod document_limits;
 pub mod ejection_gate;
 mod ending;
