almondctl: edit the document by forms in a browser

Operators fill in forms for every part of the document. Edits gather in a draft, so parts that need each other can be added one by one; faults show at their field, from the same checker, and submitting is the same compare-and-set as the command's. Forms carry a token and the draft's edition: with the comparison of either switched off, or the check of the Host header, or the escaping of HTML, a test fails; that was tried for each. The pages were read as HTML; no browser was at hand to look at them.

--- a/ctl/src/cli.rs
+++ b/ctl/src/cli.rs
@@ -5,6 +5,7 @@
 
 use crate::check_command;
 use crate::completions_command;
+use crate::console_command;
 use crate::context::Context;
 use crate::diff_command;
 use crate::error::CtlError;
@@ -39,6 +40,7 @@
         .subcommand(history_command::command())
         .subcommand(status_command::command())
         .subcommand(diff_command::command())
+        .subcommand(console_command::command())
         .subcommand(schema_command::command())
         .subcommand(completions_command::command());
     let command = command.mut_subcommands(|subcommand| subcommand.after_help(EXIT_CODES_HELP));
@@ -56,6 +58,7 @@
         history_command::NAME => history_command::run(&context, arguments).await,
         status_command::NAME => status_command::run(&context, arguments).await,
         diff_command::NAME => diff_command::run(&context, arguments).await,
+        console_command::NAME => console_command::run(&context, arguments).await,
         schema_command::NAME => schema_command::run(),
         completions_command::NAME => completions_command::run(arguments),
         _ => unreachable!("every subcommand is listed"),
--- /dev/null
+++ b/ctl/src/console/labels.rs
@@ -0,0 +1,21 @@
+//! Names of fields for people.
+
+/// Units at the end of a key and how a label writes them.
+const UNITS: [(&str, &str); 6] = [
+    ("_at_unix_ms", " at (UTC)"),
+    ("_ms", " (ms)"),
+    ("_us", " (µs)"),
+    ("_bytes", " (bytes)"),
+    ("_mib", " (MiB)"),
+    ("_percent", " (%)"),
+];
+
+/// The label of a key: `max_deadline_ms` is `Max deadline (ms)`.
+pub(crate) fn label_of(key: &str) -> String {
+    let unit = UNITS.iter().find(|(suffix, _)| key.ends_with(suffix));
+    let (suffix, shown) = unit.copied().unwrap_or(("", ""));
+    let words = key.strip_suffix(suffix).unwrap_or(key).replace('_', " ");
+    let mut letters = words.chars();
+    let first = letters.next().map(|letter| letter.to_ascii_uppercase());
+    format!("{}{}{shown}", String::from_iter(first), letters.as_str())
+}
--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -1,8 +1,10 @@
 //! Errors of the program.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use almondhead_lib::document_edit::EditError;
 use almondhead_net::DocumentStoreError;
 use almondhead_net::PlatformError;
 use derive_more::Display;
@@ -27,6 +29,20 @@
         /// Why not.
         source: io::Error,
     },
+    /// The console cannot listen.
+    #[display("listen at {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The draft cannot be edited as asked.
+    #[display("{source}")]
+    Edit {
+        /// What was to be edited.
+        source: EditError,
+    },
     /// The command needs the platform, but its address is not given.
     #[display("this command needs the platform: give its address with --platform IP:PORT")]
     NoPlatform,
@@ -60,7 +76,8 @@
             Self::ReadFile { .. } | Self::NoPlatform => Exit::Usage,
             Self::NoDocument | Self::NoRevision { .. } => Exit::Usage,
             Self::WriteResult { source } if source.kind() == io::ErrorKind::BrokenPipe => Exit::Ok,
-            Self::WriteResult { .. } => Exit::Usage,
+            Self::WriteResult { .. } | Self::Listen { .. } => Exit::Usage,
+            Self::Edit { .. } => Exit::Faults,
             Self::Store { source } => store_exit(source),
             Self::List { .. } => Exit::NotReached,
         }
@@ -74,6 +91,12 @@
     }
 }
 
+impl From<EditError> for CtlError {
+    fn from(source: EditError) -> Self {
+        Self::Edit { source }
+    }
+}
+
 impl From<PlatformError> for CtlError {
     fn from(source: PlatformError) -> Self {
         let source = Box::new(source);
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -3,6 +3,8 @@
 mod check_command;
 mod cli;
 mod completions_command;
+mod console;
+mod console_command;
 mod context;
 mod diff_command;
 mod document_source;
--- a/ctl/src/submit_command.rs
+++ b/ctl/src/submit_command.rs
@@ -19,10 +19,10 @@
 use crate::exit::Exit;
 use crate::history_command::head_line;
 use crate::report::write_report;
-use crate::submitting::Draft;
+use crate::submitting::NewDocument;
 use crate::submitting::SubmitReport;
 use crate::submitting::default_author;
-use crate::submitting::submit_draft;
+use crate::submitting::submit_document;
 
 /// The subcommand's name.
 pub(crate) const NAME: &str = "submit";
@@ -70,13 +70,13 @@
     if let Err(problems) = check_document(&text) {
         return report_problems(context, path, problems);
     }
-    let draft = Draft {
+    let document = NewDocument {
         text,
         expected_revision: arguments.get_one(EXPECT).copied(),
         note: text_of(arguments, NOTE).unwrap_or_default(),
         author: text_of(arguments, AUTHOR).unwrap_or_else(default_author),
     };
-    let report = submit_draft(&store, draft).await?;
+    let report = submit_document(&store, document).await?;
     write_report(context.format, &report)?;
     Ok(match report {
         SubmitReport::Accepted { .. } => Exit::Ok,
--- a/ctl/src/submitting.rs
+++ b/ctl/src/submitting.rs
@@ -19,7 +19,7 @@
 const TOKEN_BYTES: usize = 16;
 
 /// A checked document to be submitted.
-pub(crate) struct Draft {
+pub(crate) struct NewDocument {
     /// The text.
     pub(crate) text: String,
     /// The revision that it was made from; the newest one when absent.
@@ -30,7 +30,7 @@
     pub(crate) author: String,
 }
 
-/// What became of a draft.
+/// What became of a document that was submitted.
 #[message]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub(crate) enum SubmitReport {
@@ -43,7 +43,7 @@
     },
     /// Another submission was accepted before.
     Raced {
-        /// The revision that the draft was made from.
+        /// The revision that the document was made from.
         expected_revision: u64,
         /// The head of now.
         winner: Option<Head>,
@@ -52,22 +52,22 @@
     },
 }
 
-/// Submits a draft and compares what is in force with the revision that it was made from.
-pub(crate) async fn submit_draft(
+/// Submits a document and compares what is in force with the revision that it was made from.
+pub(crate) async fn submit_document(
     store: &DocumentStore,
-    draft: Draft,
+    document: NewDocument,
 ) -> Result<SubmitReport, CtlError> {
-    let expected_revision = match draft.expected_revision {
+    let expected_revision = match document.expected_revision {
         Some(revision) => revision,
         None => store.head().await?.map_or(0, |head| head.revision),
     };
     let submission = Submission {
-        text: draft.text,
+        text: document.text,
         expected_revision: Some(expected_revision),
         writer_token: random_token(),
-        author: draft.author,
+        author: document.author,
         submitted_at_unix_ms: now_unix_ms(),
-        note: draft.note,
+        note: document.note,
     };
     let submitted = store.submit(&submission).await?;
     let newest = match &submitted {
@@ -104,7 +104,8 @@
     Some(document_changes(&before, &after))
 }
 
-fn random_token() -> String {
+/// A token that no other run of the program draws.
+pub(crate) fn random_token() -> String {
     let bytes: [u8; TOKEN_BYTES] = rand::random();
     let mut token = String::new();
     for byte in bytes {
--- a/ctl/src/utc.rs
+++ b/ctl/src/utc.rs
@@ -7,17 +7,35 @@
 /// The days from the first of March of the year 0 to the first of January 1970.
 const EPOCH_DAY: u64 = 719_468;
 
+/// A time of the calendar, UTC.
+pub(crate) struct UtcTime {
+    unix_seconds: u64,
+}
+
+impl UtcTime {
+    /// The time of milliseconds since the Unix epoch, whole seconds.
+    pub(crate) fn from_unix_ms(unix_ms: u64) -> Self {
+        let unix_seconds = unix_ms / 1_000;
+        UtcTime { unix_seconds }
+    }
+
+    /// The date as `2026-12-03`.
+    pub(crate) fn date(&self) -> String {
+        format_date(self.unix_seconds / SECONDS_PER_DAY)
+    }
+
+    /// The time of day as `22:04:05`.
+    pub(crate) fn clock(&self) -> String {
+        let second = self.unix_seconds % SECONDS_PER_DAY;
+        let (hour, minute) = (second / 3_600, second / 60 % 60);
+        format!("{hour:02}:{minute:02}:{:02}", second % 60)
+    }
+}
+
 /// A time since the Unix epoch as `2026-12-03 22:04:05 UTC`.
 pub(crate) fn format_utc(unix_ms: u64) -> String {
-    let seconds = unix_ms / 1_000;
-    let second_of_day = seconds % SECONDS_PER_DAY;
-    let (hour, minute, second) = (
-        second_of_day / 3_600,
-        second_of_day / 60 % 60,
-        second_of_day % 60,
-    );
-    let date = format_date(seconds / SECONDS_PER_DAY);
-    format!("{date} {hour:02}:{minute:02}:{second:02} UTC")
+    let time = UtcTime::from_unix_ms(unix_ms);
+    format!("{} {} UTC", time.date(), time.clock())
 }
 
 /// The date of a day since the Unix epoch, counted in years that begin in March.
