--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -48,8 +48,10 @@
 use crate::metrics::Metrics;
 use crate::operator_api::OperatorContext;
 use crate::operator_api::operator_api;
-use crate::outbound::NoPeers;
-use crate::outbound::Outbound;
+use crate::peer::Incoming;
+use crate::peer::PeerSettings;
+use crate::peer::PeerStartError;
+use crate::peer_nng::NngTransport;
 use crate::settings::Settings;
 use crate::shutdown::stop_signals;
 use crate::span_export::SpanExportError;
@@ -65,6 +67,9 @@
     /// A listener cannot be opened.
     #[display("{_0}")]
     Listen(ListenError),
+    /// Other entry instances cannot be listened for.
+    #[display("{_0}")]
+    Peers(PeerStartError),
     /// The document file cannot be used.
     #[display("{_0}")]
     Document(DocumentFileError),
@@ -120,7 +125,7 @@
     stopping: Stopping,
     driver: DriverHandle,
     platform: Arc<dyn Platform>,
-    outbound: Arc<dyn Outbound>,
+    peers: Arc<NngTransport>,
 }
 
 impl Process {
@@ -128,8 +133,9 @@
         let caller_listener = listener::bind("callers", settings.caller_address)?;
         let operator_listener = listener::bind("operators", settings.operator_address)?;
         let (driver, commands) = DriverHandle::new(settings.limits.waiting_events);
-        let shared = Shared::new(&settings, driver)?;
+        let (shared, incoming) = Shared::new(&settings, driver)?;
         start_driver(&settings, &shared, commands);
+        executor::spawn(take_messages(incoming, shared.driver.clone()));
         start_watches(&settings, &shared).await?;
         let limits = &settings.limits;
         let operators = operator_api(&operator_context(&settings, &shared));
@@ -182,12 +188,17 @@
 }
 
 impl Shared {
-    fn new(settings: &Settings, driver: DriverHandle) -> Result<Self, ProcessError> {
+    fn new(settings: &Settings, driver: DriverHandle) -> Result<(Self, Incoming), ProcessError> {
         let identity = PeerIdentity {
             instance: Arc::from(settings.instance.as_str()),
             incarnation: Incarnation(rand::random()),
         };
-        Ok(Shared {
+        let (peers, incoming) = NngTransport::start(PeerSettings {
+            identity: identity.clone(),
+            listen: settings.peer_address,
+            key: settings.peer_key.expose().to_vec(),
+        })?;
+        let shared = Shared {
             identity,
             clock: Clock::start(),
             spans: Spans::new(settings)?,
@@ -195,8 +206,20 @@
             stopping: Stopping::default(),
             driver,
             platform: platform_client(settings),
-            outbound: Arc::new(NoPeers),
-        })
+            peers: Arc::new(peers),
+        };
+        Ok((shared, incoming))
+    }
+}
+
+/// Hands over what siblings send, as long as the transport lives.
+async fn take_messages(incoming: Incoming, driver: DriverHandle) {
+    while let Ok(envelope) = incoming.recv().await {
+        let event = Event::PeerMessage {
+            sender: envelope.sender,
+            message: envelope.message,
+        };
+        driver.send(event).await;
     }
 }
 
@@ -214,7 +237,7 @@
         upstreams: Arc::new(UpstreamClient::new(shared.clock, shared.spans.clone())),
         claims,
         platform: Arc::clone(&shared.platform),
-        peers: Arc::clone(&shared.outbound),
+        peers: shared.peers.clone(),
         metrics: shared.metrics.clone(),
     };
     let dispatcher = Dispatcher::new(dispatcher_config(settings, &shared.identity));
@@ -240,7 +263,7 @@
         own: listed(settings, &shared.identity),
         platform: Arc::clone(&shared.platform),
         driver: shared.driver.clone(),
-        outbound: Arc::clone(&shared.outbound),
+        peers: shared.peers.clone(),
         stopping: shared.stopping.clone(),
         seen: Seen::default(),
     };
@@ -255,6 +278,7 @@
         data_centre: settings.data_centre.clone(),
         driver: shared.driver.clone(),
         metrics: shared.metrics.clone(),
+        peers: shared.peers.counters(),
         clock: shared.clock,
         stopping: shared.stopping.clone(),
     })
