admission: count the slots that smaller jobs take from a larger one

With fewest remaining first, smaller jobs go on arriving in a burst and pass a large job that was admitted on the queue's length alone: it starts some tasks and misses its deadline. The queue now says how many slots jobs of the size and smaller took of late, and admission reckons with the rest.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -19,12 +19,18 @@
     pub tasks: u32,
     /// The tasks that wait for a slot.
     pub queued_tasks: u32,
-    /// The estimated run time of all queued tasks ahead of the job.
+    /// The estimated run time of the queued tasks that go before the job.
+    ///
+    /// See [`crate::queue::QueueOutlook::tasks_ahead`].
     pub queued_work: Duration,
     /// The tasks that run.
     pub running: u32,
     /// The slots that tasks of the service may use, of ejected upstreams left out.
     pub slots: u32,
+    /// The slots of them that jobs which pass this one were served of late.
+    ///
+    /// See [`crate::queue::QueueOutlook::slots_taken`]; zero when no job passes another.
+    pub slots_taken: u32,
     /// How long a task of the job is expected to run.
     pub run_estimate: RunEstimateReading,
     /// The time until the job's deadline.
--- a/lib/src/estimated_finish.rs
+++ b/lib/src/estimated_finish.rs
@@ -18,10 +18,14 @@
 /// The measured run times from which a job is held to be hopeless.
 const MIN_SAMPLES: u64 = 20;
 
+/// The part of the slots that a job always counts on, as a divisor.
+const LEAST_SLOTS_DIVISOR: u32 = 20;
+
 /// Refuses a job that is expected to miss its deadline, or that the queue's bound refuses.
 ///
-/// The finish is the wait for the work ahead, plus the job's own work over all slots and the run
-/// of its last task. With no wait a job is taken unless it is hopeless: estimates can be wrong,
+/// The finish is the wait for the work ahead, plus the job's own work and the run of its longest
+/// task. Both kinds of work are over the slots that smaller jobs leave, for these go on arriving
+/// and pass it in the queue. With no wait a job is taken unless it is hopeless: estimates can be wrong,
 /// and nobody else is held up.
 #[derive(Debug)]
 pub struct EstimatedFinish;
@@ -63,15 +67,26 @@
     if load.queued_tasks == 0 && load.running < load.slots {
         return Duration::ZERO;
     }
-    let next_free = load.run_estimate.mean / load.slots;
-    load.queued_work / load.slots + next_free
+    let slots = slots_left(load);
+    let next_free = load.run_estimate.mean / slots;
+    load.queued_work / slots + next_free
+}
+
+/// The slots that jobs which pass this one leave to it.
+fn slots_left(load: &AdmissionLoad) -> u32 {
+    let least = (load.slots / LEAST_SLOTS_DIVISOR).max(1);
+    load.slots.saturating_sub(load.slots_taken).max(least)
 }
 
 /// The run of the whole job once its first task starts.
+///
+/// A task of high run time may be among them, which is allowed for in up to half the time left: a
+/// job that has less time takes that risk even when nobody waits.
 fn own_run(load: &AdmissionLoad) -> Duration {
     let mean = load.run_estimate.mean;
     let others = load.tasks.saturating_sub(1);
-    mean.saturating_mul(others) / load.slots + mean
+    let longest = load.run_estimate.longest_of(load.tasks);
+    mean.saturating_mul(others) / slots_left(load) + longest.min(load.time_left / 2).max(mean)
 }
 
 fn refuse_hopeless(load: &AdmissionLoad, run: Duration) -> Result<(), Refusal> {
--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -13,9 +13,12 @@
 use crate::ordered_jobs::PlacedJob;
 use crate::queue::JobQueue;
 use crate::queue::QueueEntry;
+use crate::queue::QueueOutlook;
 use crate::queue::SCAN_LIMIT;
+use crate::queued_tasks::QueuedTasks;
+use crate::recent_service::RecentService;
+use crate::size_class::SizeClass;
 use crate::team_share::TeamShare;
-use crate::team_usage::SizeClass;
 use crate::time::Timestamp;
 
 /// The tasks by which a team's jobs are put back when it has had all recent service.
@@ -78,7 +81,9 @@
     settings: FairSettings,
     jobs: SecondaryMap<JobKey, QueuedJob>,
     teams: SecondaryMap<TeamKey, TeamShare>,
-    served_us: f64,
+    tasks: QueuedTasks,
+    service: RecentService,
+    weighted_us: f64,
     decayed_at: Timestamp,
     arrivals: u64,
     starts: u32,
@@ -103,7 +108,8 @@
         for team in self.teams.values_mut() {
             team.usage.decay(factor);
         }
-        self.served_us *= factor;
+        self.service.decay(factor);
+        self.weighted_us *= factor;
         self.decayed_at = now;
     }
 
@@ -116,7 +122,7 @@
     /// The place of a team's job among the jobs of all teams.
     fn put_back(&self, team: &TeamShare, placed: PlacedJob) -> PlacedJob {
         let class = SizeClass::of(placed.place.rank);
-        let share = team.usage.up_to_us(class) / self.served_us.max(1.0);
+        let share = team.usage.up_to_us(class) / self.weighted_us.max(1.0);
         let penalty = share * share * f64::from(self.settings.full_share_penalty_tasks);
         let place = Place {
             rank: placed.place.rank.saturating_add(penalty as u64),
@@ -199,6 +205,7 @@
         let team = &mut self.teams[entry.team];
         team.weight = entry.weight.max(1);
         team.insert(entry.job, place);
+        self.tasks.set(entry.job, entry.remaining);
         let queued = QueuedJob {
             team: entry.team,
             arrival: self.arrivals,
@@ -215,6 +222,7 @@
             arrival: queued.arrival,
         };
         self.teams[queued.team].update(job, place);
+        self.tasks.set(job, remaining);
     }
 
     fn remove(&mut self, job: JobKey) {
@@ -222,6 +230,7 @@
             return;
         };
         self.teams[queued.team].remove(job);
+        self.tasks.remove(job);
     }
 
     fn next(&mut self, now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
@@ -235,12 +244,26 @@
 
     fn charge(&mut self, team: TeamKey, weight: u32, cost: Duration) {
         let relative_weight = f64::from(weight.max(1)) / self.mean_weight().max(1.0);
-        let share_us = cost.as_secs_f64() * 1e6 / relative_weight;
+        let cost_us = cost.as_secs_f64() * 1e6;
+        let share_us = cost_us / relative_weight;
         let Some(team) = self.teams.get_mut(team) else {
             return;
         };
         team.charge(share_us);
-        self.served_us += share_us;
+        let class = team.last_started;
+        self.weighted_us += share_us;
+        self.service.add(class, cost_us);
+    }
+
+    /// Jobs of its size class and smaller ones go before a new job.
+    fn outlook(&mut self, now: Timestamp, tasks: u32) -> QueueOutlook {
+        self.decay(now);
+        let class = SizeClass::of(u64::from(tasks));
+        let taken = self.service.up_to_us(class) / 1e6 / USAGE_DECAY.as_secs_f64();
+        QueueOutlook {
+            tasks_ahead: self.tasks.up_to(class),
+            slots_taken: taken as u32,
+        }
     }
 
     fn jobs(&self) -> usize {
--- a/lib/src/ordered_queue.rs
+++ b/lib/src/ordered_queue.rs
@@ -8,7 +8,10 @@
 use crate::ordered_jobs::Place;
 use crate::queue::JobQueue;
 use crate::queue::QueueEntry;
+use crate::queue::QueueOutlook;
 use crate::queue::SCAN_LIMIT;
+use crate::queued_tasks::QueuedTasks;
+use crate::size_class::SizeClass;
 use crate::time::Timestamp;
 
 /// What a job's place in the order is.
@@ -23,6 +26,7 @@
 pub struct OrderedQueue {
     order: Order,
     jobs: OrderedJobs,
+    tasks: QueuedTasks,
     arrivals: u64,
 }
 
@@ -41,6 +45,7 @@
         OrderedQueue {
             order,
             jobs: OrderedJobs::default(),
+            tasks: QueuedTasks::default(),
             arrivals: 0,
         }
     }
@@ -58,12 +63,18 @@
             arrival: self.arrivals,
         };
         self.jobs.insert(entry.job, place);
+        self.tasks.set(entry.job, entry.remaining);
     }
 
-    fn update(&mut self, _job: JobKey, _remaining: u32) {}
+    fn update(&mut self, job: JobKey, remaining: u32) {
+        if self.tasks.contains(job) {
+            self.tasks.set(job, remaining);
+        }
+    }
 
     fn remove(&mut self, job: JobKey) {
         self.jobs.remove(job);
+        self.tasks.remove(job);
     }
 
     fn next(&mut self, _now: Timestamp, fits: &mut dyn FnMut(JobKey) -> bool) -> Option<JobKey> {
@@ -76,6 +87,13 @@
 
     fn charge(&mut self, _team: TeamKey, _weight: u32, _cost: Duration) {}
 
+    fn outlook(&mut self, _now: Timestamp, _tasks: u32) -> QueueOutlook {
+        QueueOutlook {
+            tasks_ahead: self.tasks.up_to(SizeClass::LAST),
+            slots_taken: 0,
+        }
+    }
+
     fn jobs(&self) -> usize {
         self.jobs.len()
     }
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -31,6 +31,16 @@
     pub deadline: Timestamp,
 }
 
+/// What a new job finds before it in the queue.
+#[value]
+#[derive(Copy)]
+pub struct QueueOutlook {
+    /// The remaining tasks of queued jobs that go before it.
+    pub tasks_ahead: u32,
+    /// The slots that jobs which pass it were served of late, queued ones and later arrivals.
+    pub slots_taken: u32,
+}
+
 /// Orders the jobs that hold tasks to start.
 ///
 /// A job is inserted when it is admitted, and removed with the start of its last task.
@@ -54,6 +64,9 @@
     /// To be called with each start, after [`Self::next`] gave the task's job.
     fn charge(&mut self, team: TeamKey, weight: u32, cost: Duration);
 
+    /// What a new job of `tasks` tasks finds before it, for its admission.
+    fn outlook(&mut self, now: Timestamp, tasks: u32) -> QueueOutlook;
+
     /// How many jobs are queued.
     fn jobs(&self) -> usize;
 }
--- /dev/null
+++ b/lib/src/queued_tasks.rs
@@ -0,0 +1,45 @@
+//! How many tasks are queued, by the size of their jobs.
+
+use slotmap::SecondaryMap;
+
+use crate::keys::JobKey;
+use crate::size_class::SIZE_CLASSES;
+use crate::size_class::SizeClass;
+
+/// The remaining tasks of queued jobs, summed by size class.
+#[derive(Debug, Default)]
+pub(crate) struct QueuedTasks {
+    remaining: SecondaryMap<JobKey, u32>,
+    by_class: [u64; SIZE_CLASSES],
+}
+
+impl QueuedTasks {
+    /// Adds a job, or sets the remaining tasks of one already held.
+    pub(crate) fn set(&mut self, job: JobKey, remaining: u32) {
+        self.remove(job);
+        self.remaining.insert(job, remaining);
+        *self.sum_of(remaining) += u64::from(remaining);
+    }
+
+    /// Takes a job out.
+    pub(crate) fn remove(&mut self, job: JobKey) {
+        if let Some(remaining) = self.remaining.remove(job) {
+            *self.sum_of(remaining) -= u64::from(remaining);
+        }
+    }
+
+    /// Whether the job is held.
+    pub(crate) fn contains(&self, job: JobKey) -> bool {
+        self.remaining.contains_key(job)
+    }
+
+    /// The remaining tasks of jobs of `class` and smaller ones.
+    pub(crate) fn up_to(&self, class: SizeClass) -> u32 {
+        let sum: u64 = self.by_class[..=class.index()].iter().sum();
+        u32::try_from(sum).unwrap_or(u32::MAX)
+    }
+
+    fn sum_of(&mut self, remaining: u32) -> &mut u64 {
+        &mut self.by_class[SizeClass::of(u64::from(remaining)).index()]
+    }
+}
--- a/lib/src/run_estimate.rs
+++ b/lib/src/run_estimate.rs
@@ -20,7 +20,10 @@
 const DEFAULT_HIGH_FACTOR: f64 = 3.0;
 
 /// The share of tasks that run no longer than the high run time.
-const HIGH_SHARE: f64 = 0.95;
+const HIGH_SHARE: f64 = 0.99;
+
+/// The number of tasks of which one is expected to exceed the high run time.
+const TASKS_WITH_A_HIGH_RUN: f64 = 100.0;
 
 /// The declared tasks from which declared figures are weighed in.
 const MIN_DECLARED_SAMPLES: u64 = 16;
@@ -43,6 +46,16 @@
     pub samples: u64,
 }
 
+impl RunEstimateReading {
+    /// A run time that the longest of `tasks` rarely exceeds.
+    ///
+    /// It is the high run time, and grows with the logarithm of the number of tasks.
+    pub fn longest_of(&self, tasks: u32) -> Duration {
+        let share = f64::from(tasks.max(1)).ln() / TASKS_WITH_A_HIGH_RUN.ln();
+        self.high.mul_f64(share.max(1.0))
+    }
+}
+
 /// The run times of one service's tasks, in bounded memory.
 ///
 /// A declared run time is corrected by how far the declared ones were off so far, and weighs as
--- a/lib/src/run_histogram.rs
+++ b/lib/src/run_histogram.rs
@@ -12,7 +12,7 @@
 const BUCKETS: usize = 68;
 
 /// The count at which all buckets are halved.
-const FORGET_AT: f32 = 1_024.0;
+const FORGET_AT: f32 = 4_096.0;
 
 /// Run times in buckets of a logarithmic scale; old ones fade as new ones come.
 #[derive(Clone, Debug)]
--- a/lib/src/running_mean.rs
+++ b/lib/src/running_mean.rs
@@ -1,7 +1,7 @@
 //! A mean and a variance that follow recent values.
 
 /// The weight of one value once many were recorded.
-const MIN_WEIGHT: f64 = 1.0 / 128.0;
+const MIN_WEIGHT: f64 = 1.0 / 1_024.0;
 
 /// An exponentially weighted mean and variance; the plain ones until many values were recorded.
 #[derive(Clone, Copy, Debug, Default)]
--- a/lib/src/team_share.rs
+++ b/lib/src/team_share.rs
@@ -4,15 +4,15 @@
 use crate::ordered_jobs::OrderedJobs;
 use crate::ordered_jobs::Place;
 use crate::ordered_jobs::PlacedJob;
-use crate::team_usage::SizeClass;
-use crate::team_usage::TeamUsage;
+use crate::recent_service::RecentService;
+use crate::size_class::SizeClass;
 
 /// A team's queued jobs in two orders, and the service it had of late.
 #[derive(Debug, Default)]
 pub(crate) struct TeamShare {
     pub(crate) weight: u32,
-    pub(crate) usage: TeamUsage,
-    last_started: SizeClass,
+    pub(crate) usage: RecentService,
+    pub(crate) last_started: SizeClass,
     by_remaining: OrderedJobs,
     by_arrival: OrderedJobs,
     fewest: Option<PlacedJob>,
