--- a/lib/src/estimated_finish.rs
+++ b/lib/src/estimated_finish.rs
@@ -59,7 +59,11 @@
         return Ok(());
     }
     let late = finish - load.time_left;
-    Err(overloaded(late.min(wait), load.spread))
+    let room_in = match load.slots_taken {
+        0 => late.min(wait),
+        _ => late,
+    };
+    Err(overloaded(room_in, load.spread))
 }
 
 /// The time until the first of the job's tasks can start.
