entry: bound connections, idle time and unanswered bytes of callers

The server library counts a connection only once its first bytes came, never times out a head or the draining of an unread body, and reads without bound while a request waits. Tests showed it: 60 idle connections passed a limit of 40, and a connection stood open after a body timeout. A transport of ours round each accepted connection holds the limits; exchanges are bounded by an absolute deadline that is read first, so a thawed process hands over nothing late.

--- a/entry/src/caller_api.rs
+++ b/entry/src/caller_api.rs
@@ -9,6 +9,7 @@
 use trillium_router::Router;
 
 use crate::caller_context::CallerContext;
+use crate::guarded_transport::note_request;
 use crate::job_handlers::cancel_keyed;
 use crate::job_handlers::cancel_numbered;
 use crate::job_handlers::look_up_keyed;
@@ -51,6 +52,7 @@
 
 /// Gives the answer the request's own id, and closes the connection when stopping.
 async fn name_request(context: Arc<CallerContext>, conn: Conn) -> Conn {
+    note_request(&conn);
     let conn = match context.stopping.is_set() {
         true => conn.with_response_header("connection", "close"),
         false => conn,
@@ -59,9 +61,9 @@
     match given.map(str::to_owned) {
         None => conn.with_response_header(REQUEST_ID, context.new_request_id()),
         Some(id) if is_request_id(&id) => conn.with_response_header(REQUEST_ID, id),
-        Some(_) => Refusal::field("Request-Id", "must be 1 to 128 visible ASCII characters")
-            .problem()
-            .reply(conn),
+        Some(_) => {
+            Refusal::field("Request-Id", "must be 1 to 128 visible ASCII characters").reply(conn)
+        }
     }
 }
 
@@ -74,5 +76,5 @@
         Some(Status::MethodNotAllowed) => Refusal::MethodNotAllowed,
         _ => Refusal::NotFound,
     };
-    refusal.problem().reply(conn)
+    refusal.reply(conn)
 }
--- a/entry/src/job_handlers.rs
+++ b/entry/src/job_handlers.rs
@@ -85,7 +85,7 @@
     });
     let (mut address, submission) = match parsed {
         Ok(parsed) => parsed,
-        Err(refusal) => return refusal.problem().reply(conn),
+        Err(refusal) => return refusal.reply(conn),
     };
     if let JobAddress::Key { team, .. } = &mut address {
         *team = Arc::clone(&submission.team);
@@ -125,7 +125,7 @@
             })
             .await
         }
-        Err(refusal) => refusal.problem().reply(conn),
+        Err(refusal) => refusal.reply(conn),
     }
 }
 
@@ -143,11 +143,11 @@
     let span = start_span(&context, &conn, "look_up");
     let (address, wait_ms) = match both(address, wait_ms(&conn)) {
         Ok(parsed) => parsed,
-        Err(refusal) => return refusal.problem().reply(conn),
+        Err(refusal) => return refusal.reply(conn),
     };
     let event = |request| Event::LookedUp { request, address };
     let Ok(mut open) = context.driver.request(event) else {
-        return Refusal::Busy.problem().reply(conn);
+        return Refusal::Busy.reply(conn);
     };
     let answer = or(open.answer(), async {
         Timer::after(Duration::from_millis(wait_ms)).await;
@@ -173,11 +173,11 @@
     event: impl FnOnce(RequestId) -> Event,
 ) -> Conn {
     let Ok(mut open) = context.driver.request(event) else {
-        return Refusal::Busy.problem().reply(conn);
+        return Refusal::Busy.reply(conn);
     };
     match wait(&mut conn, &mut open).await {
         Some(answer) => finish(&context, conn, span, &answer),
-        None => Refusal::Busy.problem().reply(conn),
+        None => Refusal::Busy.reply(conn),
     }
 }
 
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod driver_handle;
 mod effects;
 mod executor;
+mod guarded_transport;
 mod hop_tracker;
 mod instance_watch;
 mod job_address;
--- a/entry/src/listener.rs
+++ b/entry/src/listener.rs
@@ -11,6 +11,7 @@
 use trillium::HttpConfig;
 use trillium_server_common::ServerHandle;
 
+use crate::guarded_transport::GuardingAcceptor;
 use crate::settings::Limits;
 
 /// A listener that cannot be opened.
@@ -46,7 +47,8 @@
     trillium_smol::config()
         .without_signals()
         .with_nodelay()
-        .with_max_connections(Some(limits.connections))
+        .with_max_connections(None)
+        .with_acceptor(GuardingAcceptor::new(limits))
         .with_http_config(http)
         .with_prebound_server(smol::net::TcpListener::from(listener))
         .spawn(handler)
--- a/entry/src/problem.rs
+++ b/entry/src/problem.rs
@@ -88,7 +88,20 @@
         }])
     }
 
-    pub(crate) fn problem(self) -> Problem {
+    /// Answers with the refusal; a connection with an unread body on it is closed after it.
+    pub(crate) fn reply(self, conn: Conn) -> Conn {
+        let leaves_body = matches!(
+            self,
+            Refusal::BodyTooLong { .. } | Refusal::BodyTimeout { .. } | Refusal::BodyCut
+        );
+        let conn = match leaves_body {
+            true => conn.with_response_header("connection", "close"),
+            false => conn,
+        };
+        self.problem().reply(conn)
+    }
+
+    fn problem(self) -> Problem {
         let (status, reason, title) = match &self {
             Refusal::Invalid(_) => (400, "invalid_request", "request is not valid".to_owned()),
             Refusal::BodyTooLong { limit_bytes } => (
--- a/entry/src/request_body.rs
+++ b/entry/src/request_body.rs
@@ -1,5 +1,6 @@
 //! Reads request bodies within their limits.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,9 @@
 use crate::problem::Refusal;
 use crate::settings::Limits;
 
+/// The kind of error by which the server library refuses chunks beyond the limit.
+const CHUNKS_TOO_LONG: ErrorKind = ErrorKind::Unsupported;
+
 /// The whole body of a request.
 ///
 /// # Errors
@@ -29,6 +33,9 @@
         match body.read_bytes().await {
             Ok(body) => Ok(Bytes::from(body)),
             Err(Error::ReceivedBodyTooLong(_)) => Err(Refusal::BodyTooLong { limit_bytes }),
+            Err(Error::Io(error)) if error.kind() == CHUNKS_TOO_LONG => {
+                Err(Refusal::BodyTooLong { limit_bytes })
+            }
             Err(_) => Err(Refusal::BodyCut),
         }
     };
--- a/entry/src/session_handler.rs
+++ b/entry/src/session_handler.rs
@@ -28,7 +28,7 @@
     let session = match context.driver.open_session().await {
         Some(Ok(session)) => session,
         Some(Err(reason)) => return refuse(conn, reason),
-        None => return Refusal::Busy.problem().reply(conn),
+        None => return Refusal::Busy.reply(conn),
     };
     let opened = SessionOpened {
         session: context.tokens.issue(&session),
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -90,6 +90,8 @@
     pub connections: usize,
     /// How long a request body may take to arrive, in milliseconds.
     pub body_ms: u64,
+    /// How long a connection may stand without a request, in milliseconds.
+    pub idle_ms: u64,
     /// The most events that wait for the dispatcher.
     pub waiting_events: usize,
     /// The most jobs that are open or kept for their answers.
@@ -250,6 +252,7 @@
         tasks_per_job: reader.count("tasks_per_job", 1..=100_000, 1_000),
         connections: reader.count("connections", 1..=1_000_000, 4_000),
         body_ms: reader.number("body_ms", 10..=600_000, 10_000),
+        idle_ms: reader.number("idle_ms", 100..=86_400_000, 60_000),
         waiting_events: reader.count("waiting_events", 16..=1_000_000, 8_192),
         jobs: reader.count("jobs", 1..=10_000_000, 50_000),
         sessions: reader.count("sessions", 1..=10_000_000, 10_000),
--- a/entry/src/upstream_client.rs
+++ b/entry/src/upstream_client.rs
@@ -87,7 +87,8 @@
         }
         let timeout = attempt.give_up_at.since(now);
         let request = with_timeout(request, timeout);
-        let end = match client.send(request, timeout).await {
+        let deadline = self.clock.instant(attempt.give_up_at);
+        let end = match client.send_before(request, deadline).await {
             Ok(response) => response_end(&response, &attempt.task.to_string()),
             Err(error) => error_end(&error),
         };
--- a/lib/testsupport/src/site.rs
+++ b/lib/testsupport/src/site.rs
@@ -171,15 +171,16 @@
 
     /// Waits until every entry has heard from `siblings` others.
     pub async fn wait_for_siblings(&self, siblings: u64) -> TestResult {
-        for entry in &self.entries {
-            self.wait_for_status(entry.operators, "siblings_heard", siblings)
+        for entry in 0..self.entries.len() {
+            self.wait_for_status(entry, "siblings_heard", siblings)
                 .await?;
         }
         Ok(())
     }
 
     /// Waits until a field of an entry's status has a value.
-    async fn wait_for_status(&self, operators: SocketAddr, field: &str, wanted: u64) -> TestResult {
+    pub async fn wait_for_status(&self, entry: usize, field: &str, wanted: u64) -> TestResult {
+        let operators = self.entries[entry].operators;
         for _ in 0..STATUS_POLLS {
             let request = HttpRequest::new(Method::GET, operators, "/status");
             let answer = self.send(request).await?;
--- a/net/src/http/client.rs
+++ b/net/src/http/client.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_lite::future::or;
 use indexmap::IndexMap;
@@ -44,14 +45,27 @@
         request: HttpRequest,
         timeout: Duration,
     ) -> Result<HttpResponse, ExchangeError> {
+        self.send_before(request, Instant::now() + timeout).await
+    }
+
+    /// Sends a request and returns its whole response, all of it before `deadline`.
+    ///
+    /// The clock is read again whenever the exchange goes on, so that a process that was frozen
+    /// meanwhile hands over nothing past the deadline.
+    pub async fn send_before(
+        &self,
+        request: HttpRequest,
+        deadline: Instant,
+    ) -> Result<HttpResponse, ExchangeError> {
+        let started_at = Instant::now();
         let progress = Progress::new();
         let pool = self.pool(request.address);
-        let result = or(pool.send(&request, &progress), async {
-            Timer::after(timeout).await;
-            let timeout_ms = timeout.as_millis();
+        let timed_out = async {
+            Timer::at(deadline).await;
+            let timeout_ms = deadline.saturating_duration_since(started_at).as_millis();
             Err(Failure::Timeout { timeout_ms })
-        })
-        .await;
+        };
+        let result = or(timed_out, pool.send(&request, &progress)).await;
         result.map_err(|failure| ExchangeError {
             step: progress.step(),
             peer: request.address,
