admission: estimate a job's wait from what goes before it

A job with few tasks passes longer ones, so the whole queue overstates its wait; the queue now says what goes before it, and ejected upstreams no longer count as slots.

--- a/lib/src/ending.rs
+++ b/lib/src/ending.rs
@@ -27,6 +27,7 @@
 use crate::peer_message::ForwardedRequest;
 use crate::peer_message::PeerMessage;
 use crate::session::NumberState;
+use crate::submitting::RETRY_SOON;
 
 impl Dispatcher {
     /// How long answers are kept for callers that ask again.
@@ -224,8 +225,8 @@
         } else {
             NotRunReason::DeadlinePassed
         };
-        let retry_after = Some(self.plan.services[job.service].queued_work());
-        self.end_unfinished(key, not_run, FailReason::DeadlinePassed, retry_after);
+        let reason = FailReason::DeadlinePassed;
+        self.end_unfinished(key, not_run, reason, Some(RETRY_SOON));
     }
 
     /// Cancels a job at its home, or hands the request to it.
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -235,7 +235,7 @@
             .upstreams
             .iter()
             .map(|key| &self.plan.upstreams[*key]);
-        let used = upstreams.filter(|upstream| upstream.is_in_use(unix_ms));
+        let used = upstreams.filter(|upstream| upstream.runs_tasks(self.now, unix_ms));
         let mut slots = 0;
         let mut free_slots = 0;
         for upstream in used {
--- a/lib/src/service_state.rs
+++ b/lib/src/service_state.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// The estimated run time of all tasks that wait.
-    pub(crate) fn queued_work(&self) -> Duration {
-        self.estimate.reading(None).mean * self.queued_tasks
+    /// The estimated run time of some tasks together.
+    pub(crate) fn work_of(&self, tasks: u32) -> Duration {
+        self.estimate.reading(None).mean * tasks
     }
 }
--- a/lib/src/submitting.rs
+++ b/lib/src/submitting.rs
@@ -330,16 +330,19 @@
 
     fn check_load(&mut self, submission: &Submission, accepted: &Accepted) -> Result<(), Refusal> {
         let tasks = u32::try_from(submission.inputs.len()).unwrap_or(u32::MAX);
-        let service = &self.plan.services[accepted.service];
+        let slots = self.reachable_slots(accepted.service, submission.needs);
+        let service = &mut self.plan.services[accepted.service];
+        let outlook = service.queue.outlook(self.now, tasks);
         let load = AdmissionLoad {
             tasks,
             queued_tasks: service.queued_tasks,
-            queued_work: service.queued_work(),
+            queued_work: service.work_of(outlook.tasks_ahead),
             running: service.running,
-            slots: self.reachable_slots(accepted.service, submission.needs),
+            slots,
+            slots_taken: outlook.slots_taken,
             run_estimate: service.estimate.reading(submission.declared_run),
             time_left: accepted.deadline.since(self.now),
-            max_queued_tasks: self.plan.policies().max_queued_tasks,
+            max_queued_tasks: self.plan.document.policies.max_queued_tasks,
             spread: u32::try_from(self.next_job & 0xffff).unwrap_or_default(),
         };
         service.admission.admit(&load)?;
@@ -355,7 +358,7 @@
             .upstreams
             .iter()
             .map(|key| &self.plan.upstreams[*key]);
-        let usable = upstreams.filter(|u| u.is_in_use(unix_ms) && u.meets(needs));
+        let usable = upstreams.filter(|u| u.runs_tasks(self.now, unix_ms) && u.meets(needs));
         let own: u32 = usable.map(|upstream| upstream.effective_slots).sum();
         if !self.forwards_overflow() {
             return own;
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::health::HealthState;
 use crate::health::UpstreamHealth;
 use crate::keys::ServiceKey;
 use crate::slow_weight::UpstreamLatency;
@@ -53,6 +54,12 @@
         self.listed_leaving || unix_ms.saturating_add(CLOCK_MARGIN_MS) >= leaves_at
     }
 
+    /// Whether it is in use and not ejected for failing.
+    pub(crate) fn runs_tasks(&self, now: Timestamp, unix_ms: u64) -> bool {
+        let ejected = matches!(self.health.state(now), HealthState::Ejected { .. });
+        self.is_in_use(unix_ms) && !ejected
+    }
+
     /// Whether one more task may start now.
     pub(crate) fn has_room(&self, now: Timestamp, unix_ms: u64) -> bool {
         self.is_in_use(unix_ms)
