--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -194,7 +194,7 @@
             }
             AttemptEnd::NotStarted(NotStartedCause::Refused) => {
                 self.counts.refusals += 1;
-                let _ = upstream.health.on_refusal(self.now);
+                upstream.health.on_refusal(self.now);
                 upstream.pause(self.now);
                 let resumes_at = upstream.paused_until;
                 self.timers
