--- a/lib/testsupport/src/fault_proxy/connection.rs
+++ b/lib/testsupport/src/fault_proxy/connection.rs
@@ -72,12 +72,13 @@
         suffer(state, direction).await;
         let limit_bytes = direction.cut_after_bytes(&state.faults());
         let allowed_bytes = allowed(passed_bytes, read_bytes, limit_bytes);
-        to.write_all(&buffer[..allowed_bytes]).await?;
         passed_bytes += allowed_bytes as u64;
+        // Counted first: whoever receives the bytes finds them counted.
         state.count(|counters| match direction {
             Direction::Request => counters.request_bytes += allowed_bytes as u64,
             Direction::Answer => counters.answer_bytes += allowed_bytes as u64,
         });
+        to.write_all(&buffer[..allowed_bytes]).await?;
         if limit_bytes.is_some_and(|limit_bytes| passed_bytes >= limit_bytes) {
             state.count(|counters| counters.cuts += 1);
             return Err(ErrorKind::ConnectionAborted.into());
--- a/lib/testsupport/src/process.rs
+++ b/lib/testsupport/src/process.rs
@@ -3,6 +3,7 @@
 mod error;
 mod handle;
 mod output;
+mod thread_state;
 mod workspace;
 
 pub use error::ProcessError;
--- a/lib/testsupport/src/process/handle.rs
+++ b/lib/testsupport/src/process/handle.rs
@@ -9,6 +9,7 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,11 +21,14 @@
 
 use super::error::ProcessError;
 use super::output::Output;
+use super::thread_state::is_stopped;
 
 /// How often a wait looks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// How long one look over HTTP may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a process may take to stand still.
+const FREEZE_TIMEOUT: Duration = Duration::from_secs(5);
 /// What the stand-ins and the entry print before their address.
 const LISTENING: &str = "listening ";
 
@@ -145,9 +149,17 @@
         self.signal("TERM")
     }
 
-    /// Stops the process until it is thawed.
+    /// Stops the process until it is thawed; returns once all its threads stand still.
     pub fn freeze(&mut self) -> Result<(), ProcessError> {
-        self.signal("STOP")
+        self.signal("STOP")?;
+        let frozen_at = Instant::now();
+        while !is_stopped(self.id()) {
+            if frozen_at.elapsed() >= FREEZE_TIMEOUT {
+                return Err(self.timeout("freeze", FREEZE_TIMEOUT));
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        Ok(())
     }
 
     /// Lets a frozen process go on.
@@ -179,11 +191,11 @@
     ) -> Result<T, ProcessError> {
         let started_at = Instant::now();
         loop {
-            let running = self.is_running();
+            let ended = !self.is_running() && self.output.is_complete();
             if let Some(found) = look().await {
                 return Ok(found);
             }
-            if !running {
+            if ended {
                 return Err(self.ended(step));
             }
             if started_at.elapsed() >= timeout {
--- a/lib/testsupport/src/process/output.rs
+++ b/lib/testsupport/src/process/output.rs
@@ -11,26 +11,40 @@
 
 /// The lines that a process wrote to its standard output and standard error, as they came.
 #[derive(Clone, Default)]
-pub(crate) struct Output(Arc<Mutex<Vec<String>>>);
+pub(crate) struct Output(Arc<Mutex<Lines>>);
+
+#[derive(Default)]
+struct Lines {
+    lines: Vec<String>,
+    open_streams: usize,
+}
 
 impl Output {
     /// Collects the lines of `stream` until it ends.
     pub(crate) fn collect(&self, stream: impl Read + Send + 'static) {
-        let lines = Arc::clone(&self.0);
+        let output = self.clone();
+        lock(&self.0).open_streams += 1;
         thread::spawn(move || {
             for line in BufReader::new(stream).lines().map_while(Result::ok) {
-                lock(&lines).push(line);
+                lock(&output.0).lines.push(line);
             }
+            lock(&output.0).open_streams -= 1;
         });
     }
 
+    /// Says whether all that was written has been collected.
+    pub(crate) fn is_complete(&self) -> bool {
+        lock(&self.0).open_streams == 0
+    }
+
     /// Returns the first line that contains `text`.
     pub(crate) fn find(&self, text: &str) -> Option<String> {
-        let lines = lock(&self.0);
-        lines.iter().find(|line| line.contains(text)).cloned()
+        let output = lock(&self.0);
+        let mut lines = output.lines.iter();
+        lines.find(|line| line.contains(text)).cloned()
     }
 
     pub(crate) fn lines(&self) -> Vec<String> {
-        lock(&self.0).clone()
+        lock(&self.0).lines.clone()
     }
 }
