--- a/lib/tests/document_check.rs
+++ b/lib/tests/document_check.rs
@@ -183,3 +183,43 @@
 fn empty_text() {
     assert!(problems_of("// nothing\n")[0].reason.contains("empty"));
 }
+
+/// Elements of a list, written by the index of each.
+fn list(count: usize, element: impl Fn(usize) -> String) -> String {
+    (0..count).map(element).collect::<Vec<_>>().join(",\n")
+}
+
+#[test]
+fn target_size() {
+    let data_centres = list(10, |i| format!(r#"{{ "name": "dc-{i}" }}"#));
+    let instances = list(400, |i| {
+        let (dc, high, low) = (i % 10, i / 250, i % 250);
+        format!(
+            r#"{{ "name": "e-{i}", "data_centre": "dc-{dc}", "peer_address": "10.0.{high}.{low}:7400" }}"#
+        )
+    });
+    let upstreams = list(1_400, |i| {
+        let (dc, high, low) = (i % 10, i / 250, i % 250);
+        format!(
+            r#"{{ "name": "u-{i}", "data_centre": "dc-{dc}", "service": "lookup", "rack": "r-{high}",
+            "address": "10.1.{high}.{low}:8080", "slots": 8, "connections": 64, "cores": 16,
+            "memory_mib": 65536, "accelerators": 2, "leaves_at_unix_ms": 1796407200000 }}"#
+        )
+    });
+    let teams = list(72, |i| {
+        format!(
+            r#"{{ "name": "t-{i}", "weight": 1, "max_open_tasks": 100, "max_tasks_per_second": 100 }}"#
+        )
+    });
+    let service = r#"{ "name": "lookup", "path": "/", "max_deadline_ms": 60000, "default_deadline_ms": 1,
+        "max_tasks_per_job": 480, "max_input_bytes": 1 }"#;
+    let text = format!(
+        r#"{{ "firm": "Example", "data_centres": [{data_centres}], "instances": [{instances}],
+        "services": [{service}], "upstreams": [{upstreams}], "teams": [{teams}] }}"#
+    );
+    let document = check_document(&text).unwrap_or_else(|problems| panic!("{problems:#?}"));
+    assert_eq!(
+        (document.upstreams.len(), document.instances.len()),
+        (1_400, 400)
+    );
+}
