--- a/lib/tests/admission_control.rs
+++ b/lib/tests/admission_control.rs
@@ -75,6 +75,23 @@
             },
             Some(NotRunReason::Overloaded),
         ),
+        (
+            "smaller jobs take the slots",
+            AdmissionLoad {
+                tasks: 40,
+                slots_taken: 9,
+                ..queued(1)
+            },
+            Some(NotRunReason::Overloaded),
+        ),
+        (
+            "the same with the slots left to it",
+            AdmissionLoad {
+                tasks: 40,
+                ..queued(1)
+            },
+            None,
+        ),
         (
             "close, and nobody waits",
             AdmissionLoad {
--- a/lib/tests/queue_order.rs
+++ b/lib/tests/queue_order.rs
@@ -328,3 +328,48 @@
         }
     }
 }
+
+#[test]
+fn outlook_counts_what_goes_before() {
+    // Tasks ahead of a job of 10 tasks, behind one of each size.
+    let cases = [
+        (QueuePolicy::FairFewestRemaining, 1 + 9),
+        (QueuePolicy::Fifo, 1 + 9 + 480),
+        (QueuePolicy::EarliestDeadline, 1 + 9 + 480),
+    ];
+    for (policy, expected) in cases {
+        let mut keys = Keys::new();
+        let team = keys.team();
+        let mut queue = queue_for(policy);
+        let entries = [1, 9, 480].map(|remaining| keys.entry(team, remaining, 1_000));
+        for entry in entries {
+            queue.insert(Timestamp::ZERO, entry);
+        }
+        let outlook = queue.outlook(Timestamp::ZERO, 10);
+        assert_eq!(outlook.tasks_ahead, expected, "{policy:?}");
+        queue.update(entries[2].job, 2);
+        queue.remove(entries[1].job);
+        let outlook = queue.outlook(Timestamp::ZERO, 10);
+        assert_eq!(outlook.tasks_ahead, 3, "{policy:?}");
+        assert_eq!(outlook.slots_taken, 0, "{policy:?}");
+    }
+}
+
+#[test]
+fn outlook_shows_slots_that_smaller_jobs_take() {
+    let mut keys = Keys::new();
+    let team = keys.team();
+    let mut queue = fewest_first();
+    let single = keys.entry(team, 1, 1_000);
+    queue.insert(Timestamp::ZERO, single);
+    // A start every 10 ms that runs for 100 ms keeps ten slots busy.
+    for step in 0..2_000 {
+        queue.next(Timestamp::from_us(step * 10_000), &mut any);
+        queue.charge(team, 1, Duration::from_millis(100));
+    }
+    let now = Timestamp::from_us(20_000_000);
+    let taken = queue.outlook(now, 100).slots_taken;
+    assert!((9..=10).contains(&taken), "{taken}");
+    let later = Timestamp::from_us(30_000_000);
+    assert_eq!(queue.outlook(later, 100).slots_taken, 0);
+}
