--- a/ctl/src/load_report.rs
+++ b/ctl/src/load_report.rs
@@ -108,11 +108,6 @@
             messages: messages.map(|totals| message_report(totals, useful_tasks, tasks)),
         }
     }
-
-    /// The report in JSON.
-    pub fn to_json(&self) -> String {
-        serde_json::to_string_pretty(self).expect("reports have text keys only")
-    }
 }
 
 fn is_useful(sample: &JobSample) -> bool {
