--- a/lib/tests/admission_control.rs
+++ b/lib/tests/admission_control.rs
@@ -75,6 +75,23 @@
             },
             Some(NotRunReason::Overloaded),
         ),
+        (
+            "smaller jobs take the slots",
+            AdmissionLoad {
+                tasks: 40,
+                slots_taken: 9,
+                ..queued(1)
+            },
+            Some(NotRunReason::Overloaded),
+        ),
+        (
+            "the same with the slots left to it",
+            AdmissionLoad {
+                tasks: 40,
+                ..queued(1)
+            },
+            None,
+        ),
         (
             "close, and nobody waits",
             AdmissionLoad {
@@ -130,15 +147,21 @@
 #[test]
 fn refused_callers_do_not_come_back_together() {
     let admission = admission_for(AdmissionPolicy::EstimatedFinish);
-    let waits = [0, u32::MAX / 2, u32::MAX].map(|spread| {
-        let load = AdmissionLoad {
-            spread,
-            ..queued(500)
-        };
-        admission.admit(&load).unwrap_err().retry_after
-    });
-    assert!(waits[0] < waits[1] && waits[1] < waits[2], "{waits:?}");
-    assert!(waits[2] <= waits[0] * 2, "{waits:?}");
+    let mut waits: Vec<Duration> = (0..100)
+        .map(|spread| {
+            let load = AdmissionLoad {
+                spread,
+                ..queued(500)
+            };
+            admission.admit(&load).unwrap_err().retry_after
+        })
+        .collect();
+    waits.sort();
+    let room_in = waits[0];
+    assert!(waits[99] > room_in.mul_f64(1.45), "{waits:?}");
+    assert!(waits[99] <= room_in.mul_f64(1.5), "{waits:?}");
+    let widest = waits.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(widest <= Some(room_in / 50), "{waits:?}");
 }
 
 #[test]
