--- a/lib/testsupport/src/process/workspace.rs
+++ b/lib/testsupport/src/process/workspace.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::process;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
 use super::error::ProcessError;
 
@@ -18,10 +21,21 @@
         .join(name)
 }
 
-/// Returns a loopback address that was free just now.
+/// Returns a loopback address that nothing else uses.
+///
+/// Each has an IP address of its own, made of the process id and a count: a port that was free just
+/// now on 127.0.0.1 may be taken meanwhile, by another test or as the near end of a connection.
 pub fn free_address() -> Result<SocketAddr, ProcessError> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let last = u8::try_from(number % ADDRESSES_OF_ONE_PORT + 2).unwrap_or(u8::MAX);
+    let port = FIRST_PORT + number / ADDRESSES_OF_ONE_PORT;
+    let address = SocketAddr::from(([127, high, low, last], port));
     TcpListener::bind(address)
         .and_then(|listener| listener.local_addr())
         .map_err(|source| ProcessError::FreePort { address, source })
 }
+
+const FIRST_PORT: u16 = 7_000;
+const ADDRESSES_OF_ONE_PORT: u16 = 250;
