--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -1,14 +1,17 @@
 //! Errors of the program.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use almondhead_lib::document_edit::EditError;
 use almondhead_net::DocumentStoreError;
 use almondhead_net::PlatformError;
 use derive_more::Display;
 use derive_more::Error;
 
 use crate::exit::Exit;
+use crate::load_error::LoadError;
 
 /// A command that could not be done.
 #[derive(Debug, Display, Error)]
@@ -27,6 +30,20 @@
         /// Why not.
         source: io::Error,
     },
+    /// The console cannot listen.
+    #[display("listen at {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The draft cannot be edited as asked.
+    #[display("{source}")]
+    Edit {
+        /// What was to be edited.
+        source: EditError,
+    },
     /// The command needs the platform, but its address is not given.
     #[display("this command needs the platform: give its address with --platform IP:PORT")]
     NoPlatform,
@@ -51,6 +68,12 @@
         /// What failed, with the step and the peer.
         source: Box<PlatformError>,
     },
+    /// No load could be offered.
+    #[display("{source}")]
+    Load {
+        /// Why not, with the step and the peer.
+        source: LoadError,
+    },
 }
 
 impl CtlError {
@@ -60,9 +83,14 @@
             Self::ReadFile { .. } | Self::NoPlatform => Exit::Usage,
             Self::NoDocument | Self::NoRevision { .. } => Exit::Usage,
             Self::WriteResult { source } if source.kind() == io::ErrorKind::BrokenPipe => Exit::Ok,
-            Self::WriteResult { .. } => Exit::Usage,
+            Self::WriteResult { .. } | Self::Listen { .. } => Exit::Usage,
+            Self::Edit { .. } => Exit::Faults,
             Self::Store { source } => store_exit(source),
             Self::List { .. } => Exit::NotReached,
+            Self::Load { source } => match source {
+                LoadError::Option { .. } => Exit::Usage,
+                LoadError::Session { .. } | LoadError::Metrics { .. } => Exit::NotReached,
+            },
         }
     }
 }
@@ -74,6 +102,12 @@
     }
 }
 
+impl From<EditError> for CtlError {
+    fn from(source: EditError) -> Self {
+        Self::Edit { source }
+    }
+}
+
 impl From<PlatformError> for CtlError {
     fn from(source: PlatformError) -> Self {
         let source = Box::new(source);
@@ -81,6 +115,12 @@
     }
 }
 
+impl From<LoadError> for CtlError {
+    fn from(source: LoadError) -> Self {
+        Self::Load { source }
+    }
+}
+
 fn store_exit(error: &DocumentStoreError) -> Exit {
     match error {
         DocumentStoreError::Platform { .. } | DocumentStoreError::Unknown { .. } => {
--- a/lib/src/ending.rs
+++ b/lib/src/ending.rs
@@ -27,6 +27,7 @@
 use crate::peer_message::ForwardedRequest;
 use crate::peer_message::PeerMessage;
 use crate::session::NumberState;
+use crate::submitting::RETRY_SOON;
 
 impl Dispatcher {
     /// How long answers are kept for callers that ask again.
@@ -80,6 +81,7 @@
         let waiters = std::mem::take(waiters);
         let address = address.clone();
         let claiming = job.stage == JobStage::Claiming;
+        let unresolved = job.first_claim.filter(|_| claiming);
         let answer = Arc::new(answer);
         job.stage = JobStage::Ended;
         job.tasks = Vec::new();
@@ -88,7 +90,7 @@
         for waiter in waiters {
             self.answer(waiter, answer.clone());
         }
-        self.keep_answer(key, &address, &answer, claiming);
+        self.keep_answer(key, &address, &answer, unresolved);
     }
 
     fn keep_answer(
@@ -96,7 +98,7 @@
         key: JobKey,
         address: &JobAddress,
         answer: &JobAnswer,
-        claiming: bool,
+        unresolved: Option<u64>,
     ) {
         match answer {
             _ if *address == JobAddress::Single => {
@@ -104,7 +106,7 @@
             }
             JobAnswer::NotRun { reason, .. } => {
                 let cancelled = *reason == NotRunReason::Cancelled;
-                self.free_address(address, cancelled, claiming);
+                self.free_address(address, cancelled, unresolved);
                 self.jobs.remove(key);
             }
             JobAnswer::Complete { .. } | JobAnswer::Failed { .. } => {
@@ -115,7 +117,7 @@
     }
 
     /// Lets an address run a job again after one of which nothing ran.
-    fn free_address(&mut self, address: &JobAddress, cancelled: bool, claiming: bool) {
+    fn free_address(&mut self, address: &JobAddress, cancelled: bool, unresolved: Option<u64>) {
         if let JobAddress::Session { session, number } = address {
             let state = if cancelled {
                 NumberState::Cancelled
@@ -124,10 +126,9 @@
             };
             self.sessions.set(session.number, *number, state);
         }
-        let state = if claiming {
-            KeyState::Unresolved
-        } else {
-            KeyState::OwnedNotRun
+        let state = match unresolved {
+            Some(first_claim) => KeyState::Unresolved { first_claim },
+            None => KeyState::OwnedNotRun,
         };
         self.set_key_state(address, state);
     }
@@ -224,8 +225,8 @@
         } else {
             NotRunReason::DeadlinePassed
         };
-        let retry_after = Some(self.plan.services[job.service].queued_work());
-        self.end_unfinished(key, not_run, FailReason::DeadlinePassed, retry_after);
+        let reason = FailReason::DeadlinePassed;
+        self.end_unfinished(key, not_run, reason, Some(RETRY_SOON));
     }
 
     /// Cancels a job at its home, or hands the request to it.
@@ -318,7 +319,7 @@
             KeyState::OwnedNotRun => {
                 self.answer_not_run(waiter.clone(), NotRunReason::NotSubmitted, None);
             }
-            KeyState::Unknown | KeyState::Unresolved => {
+            KeyState::Unknown | KeyState::Unresolved { .. } => {
                 if matches!(waiter, Waiter::Sibling { .. }) {
                     self.answer_failed(waiter.clone(), FailReason::AnswerExpired, None);
                 } else {
