--- a/entry/src/instance_watch.rs
+++ b/entry/src/instance_watch.rs
@@ -70,6 +70,7 @@
     }
 
     async fn take(&mut self, list: &InstanceList) {
+        self.note_leaving(list).await;
         self.announce(list).await;
         let membership = self.seen.membership(list, &self.own.name);
         if membership == self.seen.reported {
@@ -86,6 +87,20 @@
         self.driver.send(Event::MembershipChanged(membership)).await;
     }
 
+    /// Takes no new work once the platform lists this run of the process as leaving.
+    async fn note_leaving(&mut self, list: &InstanceList) {
+        let is_own = |listed: &&ListedInstance| {
+            listed.name == self.own.name && listed.incarnation == self.own.incarnation
+        };
+        let listed = list.instances.iter().find(is_own);
+        let is_leaving = listed.is_some_and(|listed| listed.state == InstanceState::Leaving);
+        if is_leaving && self.own.state == InstanceState::Live {
+            tracing::info!("leaving, as the platform lists");
+            self.own.state = InstanceState::Leaving;
+            self.driver.send(Event::StopRequested).await;
+        }
+    }
+
     /// Puts this instance on the list where it is not, or not as it is now.
     async fn announce(&mut self, list: &InstanceList) {
         if self.stopping.is_set() {
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -31,6 +31,7 @@
 use crate::sibling_table::SiblingTable;
 use crate::time::Timestamp;
 use crate::timer::TimerService;
+use crate::upstream_state::CLOCK_MARGIN_MS;
 
 /// The fixed facts of one entry process.
 #[derive(Clone, Debug)]
@@ -289,6 +290,20 @@
     fn read_wall_clock(&mut self, unix_ms: u64) {
         self.unix_ms = unix_ms;
         self.unix_read_at = self.now;
+        if !self.leaving && self.leaves_by_document() {
+            self.stop();
+        }
+    }
+
+    /// Whether the time has come at which the document lets this instance leave, which is final.
+    fn leaves_by_document(&self) -> bool {
+        let by_then = self.unix_ms.saturating_add(CLOCK_MARGIN_MS);
+        let instances = &self.plan.document.instances;
+        let own = instances
+            .iter()
+            .filter(|i| *i.name == *self.config.instance);
+        own.filter_map(|instance| instance.leaves_at_unix_ms)
+            .any(|leaves_at_unix_ms| leaves_at_unix_ms <= by_then)
     }
 
     fn stop(&mut self) {
