peer: try another connection when a sibling stays silent

After a cut that drops packets TCP waits about as long as the cut was before it sends again, and the library gives no user timeout.

--- a/ctl/examples/measure/row.rs
+++ b/ctl/examples/measure/row.rs
@@ -17,9 +17,9 @@
 }
 
 const HEADER: &str = "\
-| scenario | policies | singles p50 | p99 | p99.9 | jobs p50 | p99 | p99.9 | wasted | goodput \
+| scenario | policies | singles p50 | p99 | p99.9 | jobs p50 | p99 | p99.9 | wasted | goodput | in burst \
 | complete | not run | failed | no answer | refused in ms p99 | most starts |
-| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
 /// Prints the rows as a table of Markdown.
 pub(crate) fn print_rows(rows: &[Row]) {
@@ -39,6 +39,7 @@
             wasted.unwrap_or(f64::NAN),
             report.goodput
         );
+        print!("| {:.3} ", report.goodput_in_burst.unwrap_or(f64::NAN));
         for kind in ["complete", "not_run", "failed"] {
             print!("| {} ", ends_of(report, kind));
         }
--- a/ctl/src/load_report.rs
+++ b/ctl/src/load_report.rs
@@ -1,6 +1,7 @@
 //! What a load measured, as text and as JSON.
 
 use std::fmt;
+use std::ops::Range;
 use std::time::Duration;
 
 use almondhead_macros::message;
@@ -64,8 +65,10 @@
     pub followed_complete: u64,
     /// Jobs that were sent again as told.
     pub followed: u64,
-    /// Run time of the tasks of complete jobs, as a share of what the slots could run.
+    /// Run time of complete jobs while jobs were offered, as a share of what the slots could run.
     pub goodput: f64,
+    /// The same during the burst, when there was one.
+    pub goodput_in_burst: Option<f64>,
     /// The time from the start to the last answer in seconds.
     pub span_s: f64,
     /// The messages, when the entries' metrics were read.
@@ -92,7 +95,7 @@
         let useful = samples.iter().filter(|sample| is_useful(sample));
         let useful_tasks = useful.map(|s| plan.jobs[s.job].run_ms.len() as u64).sum();
         let tasks = plan.tasks() as u64;
-        let span = span(plan, samples).max(options.duration);
+        let goodput = |window| goodput(plan, samples, options.slots, window);
         LoadReport {
             seed: options.seed,
             jobs: plan.jobs.len() as u64,
@@ -103,8 +106,11 @@
             refusal_ms: percentiles(refused.map(|sample| sample.exchange.as_secs_f64() * 1e3)),
             followed_complete: followed.clone().filter(|s| is_useful(s)).count() as u64,
             followed: followed.count() as u64,
-            goodput: useful_run_s(plan, samples) / (span.as_secs_f64() * f64::from(options.slots)),
-            span_s: span.as_secs_f64(),
+            goodput: goodput(Duration::ZERO..options.duration),
+            goodput_in_burst: options
+                .burst
+                .map(|burst| goodput(burst.from..burst.from + burst.length)),
+            span_s: span(plan, samples).as_secs_f64(),
             messages: messages.map(|totals| message_report(totals, useful_tasks, tasks)),
         }
     }
@@ -119,12 +125,22 @@
     sample.response.as_secs_f64() / ideal.as_secs_f64()
 }
 
-fn useful_run_s(plan: &LoadPlan, samples: &[JobSample]) -> f64 {
+/// The run time of complete jobs within a window, as a share of what the slots could run.
+///
+/// A job counts as spread evenly over the time from its planned time to its answer.
+fn goodput(plan: &LoadPlan, samples: &[JobSample], slots: u32, window: Range<Duration>) -> f64 {
     let useful = samples.iter().filter(|sample| is_useful(sample));
-    useful
-        .flat_map(|sample| &plan.jobs[sample.job].run_ms)
-        .map(|run_ms| f64::from(*run_ms) / 1e3)
-        .sum()
+    let useful_s: f64 = useful
+        .map(|sample| {
+            let job = &plan.jobs[sample.job];
+            let within = (job.at + sample.response).min(window.end);
+            let within = within.saturating_sub(job.at.max(window.start));
+            let share = within.as_secs_f64() / sample.response.as_secs_f64().max(f64::EPSILON);
+            share * job.run_ms.iter().copied().map(f64::from).sum::<f64>() / 1e3
+        })
+        .sum();
+    let window_s = window.end.saturating_sub(window.start).as_secs_f64();
+    useful_s / (window_s * f64::from(slots))
 }
 
 fn span(plan: &LoadPlan, samples: &[JobSample]) -> Duration {
@@ -196,6 +212,9 @@
         let (followed, complete) = (self.followed, self.followed_complete);
         writeln!(f, "followed           {followed} jobs, {complete} complete")?;
         writeln!(f, "goodput            {:.3} of the slots", self.goodput)?;
+        if let Some(goodput) = self.goodput_in_burst {
+            writeln!(f, "goodput in burst   {goodput:.3} of the slots")?;
+        }
         let Some(messages) = &self.messages else {
             return writeln!(f, "messages           not read");
         };
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod peer_memory;
 pub mod peer_nng;
 pub mod peer_queue;
+mod peer_route;
 mod problem;
 mod process;
 mod reply;
--- a/entry/src/peer_link.rs
+++ b/entry/src/peer_link.rs
@@ -35,7 +35,6 @@
 /// Sends to one sibling, one message at a time, and connects again for ever.
 #[derive(Debug)]
 pub(crate) struct PeerLink {
-    address: SocketAddr,
     shared: Arc<Shared>,
     sender: Aio,
 }
@@ -78,16 +77,17 @@
         let sender = shared.sender()?;
         shared.watch_connection()?;
         shared.socket.dial_async(&format!("tcp://{address}"))?;
-        Ok(PeerLink {
-            address,
-            shared,
-            sender,
-        })
+        Ok(PeerLink { shared, sender })
+    }
+
+    /// Whether there is a connection, as far as the library knows.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.shared.lock().connected
     }
 
-    /// Where the sibling listens.
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.address
+    /// Whether all that it took is handed to the network or lost.
+    pub(crate) fn is_idle(&self) -> bool {
+        !self.shared.lock().sending
     }
 
     /// Sends a sealed message after those that wait.
@@ -108,6 +108,7 @@
 
 impl Drop for PeerLink {
     fn drop(&mut self) {
+        self.shared.disconnected();
         self.shared.socket.close();
         self.sender.wait();
     }
--- a/entry/src/peer_nng.rs
+++ b/entry/src/peer_nng.rs
@@ -37,7 +37,10 @@
 use crate::peer_counters::PeerCount;
 use crate::peer_counters::PeerCounters;
 use crate::peer_link::LinkRefusal;
-use crate::peer_link::PeerLink;
+use crate::peer_route::PeerRoute;
+
+/// The routes to the siblings, by their names.
+type Routes = Arc<RwLock<IndexMap<Arc<str>, PeerRoute>>>;
 
 /// The transport between entry processes.
 pub struct NngTransport {
@@ -45,7 +48,7 @@
     sealer: EnvelopeSealer,
     counters: Arc<PeerCounters>,
     local_address: SocketAddr,
-    links: RwLock<IndexMap<Arc<str>, PeerLink>>,
+    routes: Routes,
     incoming: Sender<Envelope>,
     socket: Socket,
     receiver: Aio,
@@ -71,7 +74,9 @@
         let (incoming, messages) = smol::channel::bounded(MAX_INCOMING_MESSAGES);
         let socket = pull_socket().map_err(failed("open the peer socket"))?;
         let local_address = listen(&socket, address).map_err(failed("listen for peers"))?;
+        let routes = Routes::default();
         let inbox = Inbox {
+            routes: routes.clone(),
             socket: socket.clone(),
             sealer: sealer.clone(),
             counters: counters.clone(),
@@ -87,7 +92,7 @@
             sealer,
             counters,
             local_address,
-            links: RwLock::default(),
+            routes,
             incoming,
             socket,
             receiver,
@@ -120,19 +125,19 @@
     }
 
     fn send_sealed(&self, to: &Arc<str>, message: &PeerMessage) -> Result<(), PeerSendError> {
-        let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
-        let link = links.get(to);
-        let link = link.ok_or_else(|| PeerSendError::UnknownSibling { to: to.clone() })?;
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let route = routes.get(to);
+        let route = route.ok_or_else(|| PeerSendError::UnknownSibling { to: to.clone() })?;
         let sealed = self.seal(to, message)?;
-        link.send(sealed).map_err(|refusal| match refusal {
+        route.send(sealed).map_err(|refusal| match refusal {
             LinkRefusal::NotConnected => PeerSendError::NotConnected { to: to.clone() },
             LinkRefusal::QueueFull => PeerSendError::QueueFull { to: to.clone() },
         })
     }
 
-    fn open_link(&self, sibling: &Sibling) -> Option<PeerLink> {
-        let link = PeerLink::open(sibling.peer_address, self.counters.clone());
-        if let Err(error) = &link {
+    fn open_route(&self, sibling: &Sibling) -> Option<PeerRoute> {
+        let route = PeerRoute::open(sibling.peer_address, self.counters.clone());
+        if let Err(error) = &route {
             tracing::warn!(
                 sibling = &*sibling.name,
                 address = %sibling.peer_address,
@@ -140,7 +145,7 @@
                 "open the connection to a sibling"
             );
         }
-        link.ok()
+        route.ok()
     }
 }
 
@@ -154,17 +159,17 @@
     }
 
     fn set_siblings(&self, siblings: &[Sibling]) {
-        let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
-        let mut before = std::mem::take(&mut *links);
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        let mut before = std::mem::take(&mut *routes);
         for sibling in siblings {
             if sibling.name == self.identity.instance {
                 continue;
             }
             let kept = before
                 .swap_remove(&sibling.name)
-                .filter(|link| link.address() == sibling.peer_address);
-            if let Some(link) = kept.or_else(|| self.open_link(sibling)) {
-                links.insert(sibling.name.clone(), link);
+                .filter(|route| route.address() == sibling.peer_address);
+            if let Some(route) = kept.or_else(|| self.open_route(sibling)) {
+                routes.insert(sibling.name.clone(), route);
             }
         }
     }
@@ -180,6 +185,7 @@
 
 /// Takes what the pull socket receives.
 struct Inbox {
+    routes: Routes,
     socket: Socket,
     sealer: EnvelopeSealer,
     counters: Arc<PeerCounters>,
@@ -201,6 +207,7 @@
     fn pass_on(&self, message: &Message) {
         match self.sealer.open(Bytes::copy_from_slice(message)) {
             Ok(envelope) => {
+                self.heard(&envelope.sender.instance);
                 self.counters.increment(PeerCount::Received);
                 // Fails only when nobody takes messages any more.
                 let _ = self.incoming.send_blocking(envelope);
@@ -211,6 +218,13 @@
             }
         }
     }
+
+    fn heard(&self, instance: &str) {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(route) = routes.get(instance) {
+            route.heard();
+        }
+    }
 }
 
 fn pull_socket() -> nng::Result<Socket> {
--- a/entry/tests/peer_transport.rs
+++ b/entry/tests/peer_transport.rs
@@ -22,6 +22,8 @@
 use almondhead_lib::peer_envelope::Envelope;
 use almondhead_lib::peer_envelope::MAX_ENVELOPE_BYTES;
 use almondhead_lib::peer_message::PeerMessage;
+use almondhead_testsupport::FaultProxy;
+use almondhead_testsupport::ProxyFaults;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use nng::Protocol;
@@ -224,6 +226,51 @@
     }
 }
 
+#[test]
+fn silent_link_is_renewed() {
+    let (first, second) = pair(KEY);
+    let address = second.transport.local_address();
+    let proxy = smol::block_on(FaultProxy::start(address)).unwrap();
+    first
+        .transport
+        .set_siblings(&[sibling("ate-2", proxy.address())]);
+    let message = PeerMessage::HomeGone { correlation: 1 };
+    send_within(&first, "ate-2", &message, WITHIN);
+    assert!(take(&second.incoming).is_some());
+    assert_eq!(proxy.counters().connections, 1);
+    proxy.set_faults(ProxyFaults::black_hole());
+    let started = Instant::now();
+    while proxy.counters().connections < 2 {
+        assert!(started.elapsed() < WITHIN, "no other connection was tried");
+        send_within(&first, "ate-2", &message, WITHIN);
+        std::thread::sleep(10 * POLL);
+    }
+    assert!(proxy.counters().black_holed > 0);
+    smol::block_on(proxy.heal()).unwrap();
+    send_within(&first, "ate-2", &message, WITHIN);
+    assert!(take(&second.incoming).is_some());
+}
+
+#[test]
+fn answered_link_is_kept() {
+    let (first, second) = pair(KEY);
+    let address = second.transport.local_address();
+    let proxy = smol::block_on(FaultProxy::start(address)).unwrap();
+    first
+        .transport
+        .set_siblings(&[sibling("ate-2", proxy.address())]);
+    let message = PeerMessage::HomeGone { correlation: 1 };
+    let started = Instant::now();
+    while started.elapsed() < WITHIN / 2 {
+        send_within(&first, "ate-2", &message, WITHIN);
+        assert!(take(&second.incoming).is_some());
+        send_within(&second, "ate-1", &message, WITHIN);
+        assert!(take(&first.incoming).is_some());
+        std::thread::sleep(10 * POLL);
+    }
+    assert_eq!(proxy.counters().connections, 1);
+}
+
 #[test]
 fn full_queue_refuses() {
     let (first, second) = pair(KEY);
