--- a/ctl/src/cli.rs
+++ b/ctl/src/cli.rs
@@ -5,6 +5,7 @@
 
 use crate::check_command;
 use crate::completions_command;
+use crate::console_command;
 use crate::context::Context;
 use crate::diff_command;
 use crate::error::CtlError;
@@ -41,6 +42,7 @@
         .subcommand(status_command::command())
         .subcommand(diff_command::command())
         .subcommand(load::command())
+        .subcommand(console_command::command())
         .subcommand(schema_command::command())
         .subcommand(completions_command::command());
     let command = command.mut_subcommands(|subcommand| subcommand.after_help(EXIT_CODES_HELP));
@@ -59,6 +61,7 @@
         status_command::NAME => status_command::run(&context, arguments).await,
         diff_command::NAME => diff_command::run(&context, arguments).await,
         load::NAME => load::run(&context, arguments),
+        console_command::NAME => console_command::run(&context, arguments).await,
         schema_command::NAME => schema_command::run(),
         completions_command::NAME => completions_command::run(arguments),
         _ => unreachable!("every subcommand is listed"),
--- a/lib/tests/job_promises.rs
+++ b/lib/tests/job_promises.rs
@@ -11,9 +11,12 @@
 use quickcheck::TestResult;
 
 const SEED: u64 = 20_261_203;
-const CASES: u64 = 3_000;
+const CASES: u64 = 4_000;
 const STEPS: usize = 200;
 
+/// Longer than answers are kept.
+const KEPT_ANSWERS: Duration = Duration::from_secs(61);
+
 /// One step, its choices taken modulo what there is.
 #[derive(Clone, Copy, Debug)]
 struct Step {
@@ -61,6 +64,8 @@
         (29, ..) => fakes.advance(Duration::from_millis(u64::from(step.pick) % 3_000)),
         (30, ..) => fakes.advance(Duration::from_millis(u64::from(step.pick) % 200)),
         (31, ..) if step.pick.is_multiple_of(4) => fakes.restart(instance),
+        (31, ..) if step.pick.is_multiple_of(3) => fakes.advance(KEPT_ANSWERS),
+        (31, ..) => fakes.skip_numbers(instance, u64::from(step.pick) % 16),
         _ => {}
     }
 }
@@ -85,6 +90,33 @@
         .quickcheck(promises_hold as fn(Vec<Step>) -> TestResult);
 }
 
+/// The random events reach what they are meant to break.
+#[test]
+fn random_coverage() {
+    let mut g = Gen::from_size_and_seed(STEPS, SEED);
+    let mut counts = Vec::new();
+    let mut answers = [0; 3];
+    for _ in 0..100 {
+        let mut fakes = CoreFakes::new();
+        for step in Vec::<Step>::arbitrary(&mut g) {
+            take(&mut fakes, step);
+        }
+        counts.extend(fakes.dispatchers.iter().map(|d| d.status().messages));
+        for job in &fakes.jobs {
+            answers[0] += job.complete_answers;
+            answers[1] += job.failed_answers;
+            answers[2] += job.not_run_answers;
+        }
+    }
+    assert!(counts.iter().any(|count| count.batches > 0));
+    assert!(counts.iter().any(|count| count.batch_answers > 0));
+    assert!(counts.iter().any(|count| count.forwards > 0));
+    assert!(counts.iter().any(|count| count.forward_answers > 0));
+    assert!(counts.iter().any(|count| count.retries > 0));
+    assert!(counts.iter().any(|count| count.cancels > 0));
+    assert!(answers.iter().all(|count| *count > 0), "{answers:?}");
+}
+
 /// Without faults, every job submitted through any instance is answered whole.
 #[test]
 fn no_faults() {
