health: count a failing job once against an upstream

Cause: a job that fails wherever it runs ended several tasks at the same upstream at once, and three of them in a row ejected it. Ruled out: the gate on ejections, which sees peers fail only a moment later. The first failed task ends its job, so later ends of that job are not counted.

--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -190,7 +190,7 @@
             }
             AttemptEnd::TaskFailed { .. } => {
                 self.counts.upstream_answers += 1;
-                self.record_failure(running);
+                self.record_task_failure(running);
             }
             AttemptEnd::NotStarted(NotStartedCause::Refused) => {
                 self.counts.refusals += 1;
@@ -326,6 +326,15 @@
         self.end_job(key, answer);
     }
 
+    /// Counts a failed task against its upstream, once a job: a job that no upstream can run
+    /// must not look like as many failures as it has tasks.
+    fn record_task_failure(&mut self, running: &RunningAttempt) {
+        let job = self.jobs.get(running.job);
+        if job.is_some_and(|job| job.stage == JobStage::Open) {
+            self.record_failure(running);
+        }
+    }
+
     /// Counts a failure against an upstream, and looks again when it may be tried.
     fn record_failure(&mut self, running: &RunningAttempt) {
         if !self.plan.policies().eject_failing {
--- a/lib/src/submitting.rs
+++ b/lib/src/submitting.rs
@@ -336,7 +336,7 @@
         let load = AdmissionLoad {
             tasks,
             queued_tasks: service.queued_tasks,
-            queued_work: service.work_of(outlook.tasks_ahead),
+            queued_work: service.work_of(outlook.tasks_ahead.min(service.queued_tasks)),
             running: service.running,
             slots,
             slots_taken: outlook.slots_taken,
