tests: bring an ejection about that a single job would cause

It now ends a quarter of a job at one upstream of four: with every failed task counted, that upstream is ejected; with one a job, it is not.

--- a/lib/tests/failing_job.rs
+++ b/lib/tests/failing_job.rs
@@ -1,21 +1,51 @@
-//! A job that fails wherever it runs does not take its upstreams out of use.
+//! A job that fails wherever it runs does not take an upstream out of use.
 
+use std::sync::Arc;
+
+use almondhead_lib::event::Event;
+use almondhead_lib::upstream::Upstream;
 use almondhead_testsupport::core_fakes::CoreFakes;
+use almondhead_testsupport::core_fakes::DOCUMENT;
 use almondhead_testsupport::core_fakes::UpstreamEnd;
+use bytes::Bytes;
 
 const WEST: usize = 2;
 
+/// Gives the west four upstreams of eight slots.
+fn install_four(fakes: &mut CoreFakes) {
+    let parsed = almondhead_lib::check::check_document(DOCUMENT);
+    let mut document = parsed.expect("a valid document");
+    let model = document.upstreams[2].clone();
+    let copies = (0..4).map(|index| Upstream {
+        name: format!("w{index}"),
+        slots: 8,
+        ..model.clone()
+    });
+    document.upstreams = copies.collect();
+    let installed = Event::DocumentInstalled {
+        revision: 2,
+        document: Arc::new(document),
+        text: Bytes::new(),
+    };
+    fakes.handle(WEST, installed);
+}
+
 #[test]
 fn counted_once() {
     let mut fakes = CoreFakes::new();
-    for _ in 0..2 {
-        fakes.submit_in_session(WEST, 12);
-        while !fakes.attempts.is_empty() {
-            fakes.end_attempt(0, UpstreamEnd::Fail);
-        }
+    install_four(&mut fakes);
+    let job = fakes.submit_in_session(WEST, 16);
+    let first = fakes.attempts[0].attempt.target.name.clone();
+    let at_first = |fakes: &CoreFakes| {
+        let mut attempts = fakes.attempts.iter();
+        attempts.position(|open| open.attempt.target.name == first)
+    };
+    let mut failed = 0;
+    while let Some(index) = at_first(&fakes) {
+        fakes.end_attempt(index, UpstreamEnd::Fail);
+        failed += 1;
     }
-    assert!(fakes.jobs.iter().all(|job| job.failed_answers == 1));
-    let status = fakes.dispatchers[WEST].status();
-    assert_eq!(status.messages.upstream_answers, 4, "two tasks of each ran");
-    assert_eq!(status.ejected_upstreams, 0);
+    assert_eq!(failed, 4, "a quarter of the job ran there");
+    assert_eq!(fakes.jobs[job].failed_answers, 1);
+    assert_eq!(fakes.dispatchers[WEST].status().ejected_upstreams, 0);
 }
