retries: let refused tasks wait in place of spending the retry budget

Cause: a sibling that refuses a batch, or a guard that refuses a task, put every refused task on the retry budget, and a job whose tasks found it empty failed as not taken although its deadline was far. A refused task did not start, and pauses bound how often it is offered; the budget stays for attempts that could not be sent.

--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -24,8 +24,8 @@
 use crate::submission::Needs;
 use crate::submitting::RETRY_SOON;
 
-/// The most attempts at one task that may end as not started.
-const MAX_REFUSED_ATTEMPTS: u32 = 8;
+/// The most attempts at one task of which nothing could be sent.
+const MAX_UNSENT_ATTEMPTS: u32 = 8;
 
 /// A free slot, for tasks whose needs its upstream meets.
 struct FreeUpstream {
@@ -256,11 +256,16 @@
 
     fn task_not_started(&mut self, key: JobKey, index: u32, cause: NotStartedCause) {
         let job = &self.jobs[key];
-        let past = cause == NotStartedCause::PastDeadline || self.now >= job.deadline;
         let refused = job.tasks[index as usize].refused_attempts;
-        let service = &mut self.plan.services[job.service];
-        let exhausted = refused >= MAX_REFUSED_ATTEMPTS;
-        if !past && !exhausted && service.retries.try_retry() {
+        let retries = &mut self.plan.services[job.service].retries;
+        let again = match cause {
+            _ if self.now >= job.deadline => false,
+            // The guard's pause bounds how often a full upstream is asked.
+            NotStartedCause::Refused => true,
+            NotStartedCause::NotSent => refused < MAX_UNSENT_ATTEMPTS && retries.try_retry(),
+            NotStartedCause::PastDeadline => false,
+        };
+        if again {
             return self.put_back(key, index);
         }
         self.give_task_up(key, index, cause);
--- a/lib/tests/leaving_upstream.rs
+++ b/lib/tests/leaving_upstream.rs
@@ -10,25 +10,12 @@
 use almondhead_testsupport::core_fakes::CoreFakes;
 use almondhead_testsupport::core_fakes::DOCUMENT;
 use almondhead_testsupport::core_fakes::UpstreamEnd;
-use bytes::Bytes;
 
 /// The instance with an upstream of its own, `u3`.
 const WEST: usize = 2;
 
 const LEAVES_AT_UNIX_MS: u64 = 1_800_000_000_000;
 
-fn install(fakes: &mut CoreFakes, revision: u64, text: &str) {
-    let document = almondhead_lib::check::check_document(text).expect("a valid document");
-    fakes.handle(
-        WEST,
-        Event::DocumentInstalled {
-            revision,
-            document: Arc::new(document),
-            text: Bytes::copy_from_slice(text.as_bytes()),
-        },
-    );
-}
-
 fn leaving_document() -> String {
     let leaves = format!(r#""name": "u3", "leaves_at_unix_ms": {LEAVES_AT_UNIX_MS},"#);
     DOCUMENT.replace(r#""name": "u3","#, &leaves)
@@ -43,7 +30,7 @@
 #[test]
 fn by_document() {
     let mut fakes = CoreFakes::new();
-    install(&mut fakes, 2, &leaving_document());
+    fakes.install(WEST, 2, &leaving_document());
     let unix_ms = LEAVES_AT_UNIX_MS - 3_000;
     fakes.handle(WEST, Event::WallClockRead { unix_ms });
     fakes.submit_in_session(WEST, 1);
@@ -71,8 +58,8 @@
 #[test]
 fn older_revision() {
     let mut fakes = CoreFakes::new();
-    install(&mut fakes, 3, &leaving_document());
-    install(&mut fakes, 2, DOCUMENT);
+    fakes.install(WEST, 3, &leaving_document());
+    fakes.install(WEST, 2, DOCUMENT);
     assert_eq!(fakes.dispatchers[WEST].status().revision, 3);
     fakes.advance(Duration::from_secs(1));
     fakes.deliver_all();
--- a/lib/testsupport/src/core_fakes.rs
+++ b/lib/testsupport/src/core_fakes.rs
@@ -222,15 +222,24 @@
             siblings: siblings.collect(),
             ..Membership::default()
         };
-        let document = almondhead_lib::check::check_document(DOCUMENT);
-        let document: Document = document.expect("the document is valid");
         self.handle(instance, Event::MembershipChanged(membership));
+        self.install(instance, 1, DOCUMENT);
+    }
+
+    /// Hands a document to one dispatcher.
+    ///
+    /// # Panics
+    ///
+    /// When the document is not valid.
+    pub fn install(&mut self, instance: usize, revision: u64, text: &str) {
+        let document = almondhead_lib::check::check_document(text);
+        let document: Document = document.expect("the document is valid");
         self.handle(
             instance,
             Event::DocumentInstalled {
-                revision: 1,
+                revision,
                 document: Arc::new(document),
-                text: Bytes::from_static(DOCUMENT.as_bytes()),
+                text: Bytes::copy_from_slice(text.as_bytes()),
             },
         );
     }
