almondctl: ask each path of an instance over its own connection

status read /metrics over the connection that /readyz had left open. An instance that closes it in between made the second read fail with "connection error; the request may have arrived", and status showed no revision. Seen as tests of instance_status failing in 4 of 12 runs at a load average of 17; the platform and the checks of the answer were ruled out, as the message names the instance's connection. The tests are unchanged.

--- a/ctl/src/status_probe.rs
+++ b/ctl/src/status_probe.rs
@@ -31,8 +31,7 @@
 
 /// Asks an entry instance whether it is ready and which revision it has in force.
 pub(crate) async fn probe(address: SocketAddr, timeout: Duration) -> Probe {
-    let client = HttpClient::new(HttpSettings::default());
-    let ready = get(&client, address, READY_PATH, timeout).await;
+    let ready = get(address, READY_PATH, timeout).await;
     let reason = match &ready {
         Ok(answer) if answer.status == StatusCode::OK => None,
         Ok(answer) => Some(not_ready_reason(answer)),
@@ -44,7 +43,7 @@
         reason,
     };
     if ready.is_ok() {
-        match get(&client, address, METRICS_PATH, timeout).await {
+        match get(address, METRICS_PATH, timeout).await {
             Ok(answer) => probe.revision = revision_of(&answer),
             Err(reason) => probe.reason = probe.reason.or(Some(reason)),
         }
@@ -52,12 +51,9 @@
     probe
 }
 
-async fn get(
-    client: &HttpClient,
-    address: SocketAddr,
-    path: &str,
-    timeout: Duration,
-) -> Result<HttpResponse, String> {
+/// Reads a path over a connection of its own, which the peer can't have closed in the meantime.
+async fn get(address: SocketAddr, path: &str, timeout: Duration) -> Result<HttpResponse, String> {
+    let client = HttpClient::new(HttpSettings::default());
     let request = HttpRequest::new(Method::GET, address, path);
     let answer = client.send(request, timeout).await;
     answer.map_err(|error| format!("GET {path}: {error}"))
