--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -194,9 +194,10 @@
             }
             AttemptEnd::NotStarted(NotStartedCause::Refused) => {
                 self.counts.refusals += 1;
-                let _ = upstream.health.on_refusal(self.now);
+                upstream.health.on_refusal(self.now);
                 upstream.pause(self.now);
-                let resumes_at = upstream.paused_until;
+                let changes_at = upstream.health.next_change(self.now);
+                let resumes_at = changes_at.unwrap_or(self.now).max(upstream.paused_until);
                 self.timers
                     .subscribe(resumes_at, Timer::Dispatch(running.service));
             }
