--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -30,6 +30,9 @@
 /// The one-way time assumed to a data centre that the document gives no distance to.
 const FAR_ONE_WAY: Duration = Duration::from_millis(50);
 
+/// Connections beyond the slots, over which tasks are stopped while all slots are busy.
+const STOP_CONNECTIONS: u32 = 1;
+
 /// One team and its quota at this entry instance.
 #[derive(Debug)]
 pub(crate) struct TeamState {
@@ -223,7 +226,7 @@
 
 fn target_of(upstream: &Upstream, service: &ServiceState, instances: usize) -> Arc<UpstreamTarget> {
     let sharing = u32::try_from(instances).unwrap_or(u32::MAX).max(1);
-    let connections = (upstream.connections / sharing).clamp(1, upstream.slots.max(1));
+    let connections = (upstream.connections / sharing).clamp(1, upstream.slots + STOP_CONNECTIONS);
     let address: SocketAddr = upstream.address;
     Arc::new(UpstreamTarget {
         name: Arc::from(upstream.name.as_str()),
--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -145,7 +145,7 @@
         let cost = service.estimate.reading(None).mean;
         service.queue.charge(job.team, weight, cost);
         if job.waiting.is_empty() {
-            service.queue.remove(key);
+            service.unqueue_job(key);
         }
         Some(index)
     }
