--- a/lib/src/batching.rs
+++ b/lib/src/batching.rs
@@ -27,9 +27,6 @@
 use crate::sent_batch::SentBatch;
 use crate::submission::Submission;
 
-/// The most queued jobs that are weighed for one batch.
-const MAX_JOBS_WEIGHED: usize = 256;
-
 impl Dispatcher {
     /// Hands tasks that wait in a service's queue to siblings, as its policy says.
     pub(crate) fn forward_overflow(&mut self, service_key: ServiceKey) {
@@ -87,7 +84,13 @@
     fn forward_share(&mut self, service_key: ServiceKey, sibling: SiblingKey, tasks: u32) {
         let mut left = tasks;
         while left > 0 {
-            let Some(job) = self.largest_waiting(service_key) else {
+            let jobs = &self.jobs;
+            let from_callers = |key: JobKey| {
+                let origin = jobs.get(key).map(|job| &job.origin);
+                matches!(origin, Some(JobOrigin::Callers { .. }))
+            };
+            let service = &mut self.plan.services[service_key];
+            let Some(job) = service.queue.next(self.now, &mut { from_callers }) else {
                 return;
             };
             let sent = self.forward_tasks(job, sibling, left);
@@ -98,17 +101,6 @@
         }
     }
 
-    /// The job of this home with the most waiting tasks, so that one batch holds many.
-    fn largest_waiting(&self, service_key: ServiceKey) -> Option<JobKey> {
-        let queued = self.plan.services[service_key].queued_jobs();
-        let ours = queued.filter(|key| {
-            let job = self.jobs.get(*key);
-            job.is_some_and(|job| matches!(job.origin, JobOrigin::Callers { .. }))
-        });
-        ours.take(MAX_JOBS_WEIGHED)
-            .max_by_key(|key| self.jobs[*key].waiting.len())
-    }
-
     /// Hands up to `most` waiting tasks of a job to a sibling; gives how many.
     fn forward_tasks(&mut self, key: JobKey, sibling: SiblingKey, most: u32) -> u32 {
         let Some(state) = self.siblings.get_mut(sibling) else {
--- a/lib/src/ending.rs
+++ b/lib/src/ending.rs
@@ -143,7 +143,7 @@
         self.timers.cancel(job.deadline_timer);
         self.stop_tasks(key);
         let service = &mut self.plan.services[service_key];
-        service.unqueue_job(key);
+        service.queue.remove(key);
         if is_queued {
             service.queued_tasks -= u32::try_from(waiting).unwrap_or(u32::MAX);
         }
--- a/lib/src/service_state.rs
+++ b/lib/src/service_state.rs
@@ -3,24 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexSet;
-
 use crate::admission::Admission;
 use crate::admission::admission_for;
 use crate::choice::Choice;
 use crate::choice::choice_for;
-use crate::keys::JobKey;
 use crate::keys::UpstreamKey;
 use crate::overflow::Overflow;
 use crate::overflow::overflow_for;
 use crate::policies::Policies;
 use crate::queue::JobQueue;
-use crate::queue::QueueEntry;
 use crate::queue::queue_for;
 use crate::retry_budget::RetryBudget;
 use crate::run_estimate::RunEstimate;
 use crate::service::Service;
-use crate::time::Timestamp;
 
 /// One service: its settings, its queue and what was measured of its tasks.
 #[derive(Debug)]
@@ -32,8 +27,6 @@
     /// Its upstreams, in the order of the document.
     pub(crate) upstreams: Vec<UpstreamKey>,
     pub(crate) queue: Box<dyn JobQueue>,
-    /// The jobs of `queue`, for choices that do not follow its order.
-    queued_jobs: IndexSet<JobKey>,
     pub(crate) choice: Box<dyn Choice>,
     pub(crate) admission: Box<dyn Admission>,
     pub(crate) overflow: Box<dyn Overflow>,
@@ -54,7 +47,6 @@
             present: true,
             upstreams: Vec::new(),
             queue: queue_for(policies.queue),
-            queued_jobs: IndexSet::new(),
             choice: choice_for(policies.choice, seed),
             admission: admission_for(policies.admission),
             overflow: overflow_for(policies.prefer),
@@ -78,23 +70,6 @@
         }
     }
 
-    /// Puts a job with waiting tasks in the queue.
-    pub(crate) fn queue_job(&mut self, now: Timestamp, entry: QueueEntry) {
-        self.queued_jobs.insert(entry.job);
-        self.queue.insert(now, entry);
-    }
-
-    /// Takes a job out of the queue, when it is there.
-    pub(crate) fn unqueue_job(&mut self, job: JobKey) {
-        self.queued_jobs.swap_remove(&job);
-        self.queue.remove(job);
-    }
-
-    /// The queued jobs in no order.
-    pub(crate) fn queued_jobs(&self) -> impl Iterator<Item = JobKey> {
-        self.queued_jobs.iter().copied()
-    }
-
     /// Learns from a finished task and what was declared for it.
     pub(crate) fn record_run(&mut self, declared: Option<Duration>, run: Duration) {
         match declared {
--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -145,7 +145,7 @@
         let cost = service.estimate.reading(None).mean;
         service.queue.charge(job.team, weight, cost);
         if job.waiting.is_empty() {
-            service.unqueue_job(key);
+            service.queue.remove(key);
         }
         Some(index)
     }
--- a/lib/src/submitting.rs
+++ b/lib/src/submitting.rs
@@ -273,7 +273,7 @@
         let waiting = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
         let service_key = job.service;
         let service = &mut self.plan.services[service_key];
-        service.queue_job(self.now, entry);
+        service.queue.insert(self.now, entry);
         service.queued_tasks += waiting;
         self.mark_dirty(service_key);
     }
