digests: send them when the room changes by a step, or on the heartbeat

Cause: digests were sent whenever one slot was taken or freed, and were the largest part of the wasted messages. Ruled out: batches (631 and 181 with their answers) and retries. Where response time is preferred a digest now goes out when the room steps between none, a quarter and more; where fewer messages are, on the heartbeat of a second and with each batch answer.

--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -21,6 +21,7 @@
 use crate::peer_message::PeerMessage;
 use crate::peer_message::ServiceLoad;
 use crate::policies::PlacementPolicy;
+use crate::policies::Prefer;
 
 /// The most siblings that get this entry instance's digests.
 const DIGEST_SIBLINGS: usize = 8;
@@ -260,11 +261,23 @@
         self.plan.weigh_slow();
         self.keys.expire(self.now);
         let beat = self.now.since(self.last_digest_at) >= HEARTBEAT;
-        if beat || self.digest() != self.last_digest {
+        if beat || self.has_news() {
             self.send_digests();
         }
     }
 
+    /// Whether siblings would decide otherwise if they knew what has changed.
+    fn has_news(&self) -> bool {
+        let digest = self.digest();
+        let told = &self.last_digest;
+        if digest.revision != told.revision || digest.leaving != told.leaving {
+            return true;
+        }
+        let eager = self.plan.policies().prefer == Prefer::ResponseTime;
+        let rooms = digest.services.iter().map(ServiceLoad::room);
+        eager && rooms.ne(told.services.iter().map(ServiceLoad::room))
+    }
+
     /// Sends a digest to the nearest siblings.
     pub(crate) fn send_digests(&mut self) {
         let digest = self.digest();
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -159,3 +159,25 @@
     /// The tasks that wait.
     pub queued_tasks: u32,
 }
+
+/// How much room a service has, in the steps that matter to siblings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// No slot is free.
+    Full,
+    /// Up to a quarter of the slots is free.
+    Little,
+    /// More than a quarter of the slots is free.
+    Much,
+}
+
+impl ServiceLoad {
+    /// How much room the service has.
+    pub fn room(&self) -> Room {
+        match self.free_slots {
+            0 => Room::Full,
+            free if free <= self.slots / 4 => Room::Little,
+            _ => Room::Much,
+        }
+    }
+}
