--- a/lib/src/service_state.rs
+++ b/lib/src/service_state.rs
@@ -72,9 +72,9 @@
 
     /// Learns from a finished task and what was declared for it.
     pub(crate) fn record_run(&mut self, declared: Option<Duration>, run: Duration) {
-        self.estimate.record(run);
-        if let Some(declared) = declared {
-            self.estimate.record_declared(declared, run);
+        match declared {
+            Some(declared) => self.estimate.record_declared(declared, run),
+            None => self.estimate.record(run),
         }
     }
 
--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -24,8 +24,8 @@
 use crate::submission::Needs;
 use crate::submitting::RETRY_SOON;
 
-/// The most attempts at one task that may end as not started.
-const MAX_REFUSED_ATTEMPTS: u32 = 8;
+/// The most attempts at one task of which nothing could be sent.
+const MAX_UNSENT_ATTEMPTS: u32 = 8;
 
 /// A free slot, for tasks whose needs its upstream meets.
 struct FreeUpstream {
@@ -190,13 +190,14 @@
             }
             AttemptEnd::TaskFailed { .. } => {
                 self.counts.upstream_answers += 1;
-                self.record_failure(running);
+                self.record_task_failure(running);
             }
             AttemptEnd::NotStarted(NotStartedCause::Refused) => {
                 self.counts.refusals += 1;
-                let _ = upstream.health.on_refusal(self.now);
+                upstream.health.on_refusal(self.now);
                 upstream.pause(self.now);
-                let resumes_at = upstream.paused_until;
+                let changes_at = upstream.health.next_change(self.now);
+                let resumes_at = changes_at.unwrap_or(self.now).max(upstream.paused_until);
                 self.timers
                     .subscribe(resumes_at, Timer::Dispatch(running.service));
             }
@@ -255,11 +256,16 @@
 
     fn task_not_started(&mut self, key: JobKey, index: u32, cause: NotStartedCause) {
         let job = &self.jobs[key];
-        let past = cause == NotStartedCause::PastDeadline || self.now >= job.deadline;
         let refused = job.tasks[index as usize].refused_attempts;
-        let service = &mut self.plan.services[job.service];
-        let exhausted = refused >= MAX_REFUSED_ATTEMPTS;
-        if !past && !exhausted && service.retries.try_retry() {
+        let retries = &mut self.plan.services[job.service].retries;
+        let again = match cause {
+            _ if self.now >= job.deadline => false,
+            // The guard's pause bounds how often a full upstream is asked.
+            NotStartedCause::Refused => true,
+            NotStartedCause::NotSent => refused < MAX_UNSENT_ATTEMPTS && retries.try_retry(),
+            NotStartedCause::PastDeadline => false,
+        };
+        if again {
             return self.put_back(key, index);
         }
         self.give_task_up(key, index, cause);
@@ -325,6 +331,15 @@
         self.end_job(key, answer);
     }
 
+    /// Counts a failed task against its upstream, once a job: a job that no upstream can run
+    /// must not look like as many failures as it has tasks.
+    fn record_task_failure(&mut self, running: &RunningAttempt) {
+        let job = self.jobs.get(running.job);
+        if job.is_some_and(|job| job.stage == JobStage::Open) {
+            self.record_failure(running);
+        }
+    }
+
     /// Counts a failure against an upstream, and looks again when it may be tried.
     fn record_failure(&mut self, running: &RunningAttempt) {
         if !self.plan.policies().eject_failing {
