--- a/lib/src/batching.rs
+++ b/lib/src/batching.rs
@@ -15,6 +15,7 @@
 use crate::keys::ServiceKey;
 use crate::keys::SiblingKey;
 use crate::outcome::AttemptEnd;
+use crate::outcome::NotStartedCause;
 use crate::outcome::UnknownCause;
 use crate::overflow::OverflowNeed;
 use crate::overflow::SiblingRoom;
@@ -286,12 +287,9 @@
             state.clear_room();
         }
         let indexes: Vec<u32> = sent.open.values().copied().collect();
-        let open = self.jobs.get(sent.job);
-        if !open.is_some_and(|job| job.stage == JobStage::Open) {
-            return;
-        }
         for index in indexes.into_iter().rev() {
-            self.put_back(sent.job, index);
+            let cause = NotStartedCause::Refused;
+            self.end_forwarded(sent.job, index, AttemptEnd::NotStarted(cause));
         }
     }
 
