load: count goodput in the stretch in which a job ran

Spread over its whole response a queued job counted as running while it waited: the burst row showed 1.199 of the slots. It now counts as run for its ideal, before its answer.

--- a/ctl/src/load_report.rs
+++ b/ctl/src/load_report.rs
@@ -95,7 +95,7 @@
         let useful = samples.iter().filter(|sample| is_useful(sample));
         let useful_tasks = useful.map(|s| plan.jobs[s.job].run_ms.len() as u64).sum();
         let tasks = plan.tasks() as u64;
-        let goodput = |window| goodput(plan, samples, options.slots, window);
+        let goodput = |window| goodput(options, plan, samples, window);
         LoadReport {
             seed: options.seed,
             jobs: plan.jobs.len() as u64,
@@ -127,15 +127,23 @@
 
 /// The run time of complete jobs within a window, as a share of what the slots could run.
 ///
-/// A job counts as spread evenly over the time from its planned time to its answer.
-fn goodput(plan: &LoadPlan, samples: &[JobSample], slots: u32, window: Range<Duration>) -> f64 {
+/// A job counts as run in the last stretch before its answer, as long as its ideal.
+fn goodput(
+    options: &LoadOptions,
+    plan: &LoadPlan,
+    samples: &[JobSample],
+    window: Range<Duration>,
+) -> f64 {
+    let slots = options.slots;
     let useful = samples.iter().filter(|sample| is_useful(sample));
     let useful_s: f64 = useful
         .map(|sample| {
             let job = &plan.jobs[sample.job];
-            let within = (job.at + sample.response).min(window.end);
-            let within = within.saturating_sub(job.at.max(window.start));
-            let share = within.as_secs_f64() / sample.response.as_secs_f64().max(f64::EPSILON);
+            let run = job.ideal(slots, options.round_trips).min(sample.response);
+            let answered = job.at + sample.response;
+            let within = answered.min(window.end);
+            let within = within.saturating_sub((answered - run).max(window.start));
+            let share = within.as_secs_f64() / run.as_secs_f64().max(f64::EPSILON);
             share * job.run_ms.iter().copied().map(f64::from).sum::<f64>() / 1e3
         })
         .sum();
