testsupport: probe a free address without listening on it

An entry of the promise tests once could not listen at an address that free_address had just given (address in use, one of about five runs of the file under load). Ruled out: another user of that address, since it is made of the process's own id and a count. Likely cause, not proved: the probe's own listener, inherited by a process that another thread was starting at that moment. Before: the probe bound and listened. After: it connects and expects a refusal, so there is no socket to inherit.

--- a/lib/testsupport/src/process/workspace.rs
+++ b/lib/testsupport/src/process/workspace.rs
@@ -1,8 +1,9 @@
 //! Where a test finds the workspace's programs, and a free port.
 
 use std::env;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process;
 use std::sync::atomic::AtomicU16;
@@ -32,9 +33,14 @@
     let last = u8::try_from(number % ADDRESSES_OF_ONE_PORT + 2).unwrap_or(u8::MAX);
     let port = FIRST_PORT + number / ADDRESSES_OF_ONE_PORT;
     let address = SocketAddr::from(([127, high, low, last], port));
-    TcpListener::bind(address)
-        .and_then(|listener| listener.local_addr())
-        .map_err(|source| ProcessError::FreePort { address, source })
+    // A listener of our own as the probe would be inherited by processes that start meanwhile.
+    match TcpStream::connect(address) {
+        Err(_) => Ok(address),
+        Ok(_) => Err(ProcessError::FreePort {
+            address,
+            source: ErrorKind::AddrInUse.into(),
+        }),
+    }
 }
 
 const FIRST_PORT: u16 = 7_000;
