testsupport: record starts by marker, and list entries under a proxy's peer address

A second run of a task under a new id does not show in a record by task id; the marker in the task's input does. The platform's list can name a proxy as an entry's peer address, so that the way between two entries can be cut.

--- a/lib/testsupport/src/lib.rs
+++ b/lib/testsupport/src/lib.rs
@@ -11,6 +11,7 @@
 mod request;
 mod server;
 pub mod site;
+pub mod site_faults;
 mod upstream;
 
 pub use crate::command::listen_address;
--- a/lib/testsupport/src/platform/stand_in.rs
+++ b/lib/testsupport/src/platform/stand_in.rs
@@ -76,6 +76,11 @@
         marked.expect("memory never fails");
     }
 
+    /// Lists an instance under another peer address than its own, as that of a proxy before it.
+    pub fn set_peer_address(&self, name: &str, address: SocketAddr) {
+        self.state.set_peer_address(name, address);
+    }
+
     /// Takes an instance off the list, as one that the platform has seen end.
     pub async fn end_instance(&self, name: &str) {
         let ended = self.state.end_instance(name).await;
--- a/lib/testsupport/src/platform/state.rs
+++ b/lib/testsupport/src/platform/state.rs
@@ -1,5 +1,6 @@
 //! What a platform stand-in remembers besides its rows.
 
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,6 +12,8 @@
 use almondhead_net::Platform;
 use almondhead_net::PlatformError;
 
+use indexmap::IndexMap;
+
 use super::counters::PlatformCounters;
 use super::faults::PlatformFaults;
 use super::lagging_list::LaggingList;
@@ -29,6 +32,7 @@
     faults: PlatformFaults,
     counters: PlatformCounters,
     list: LaggingList,
+    peer_addresses: IndexMap<String, SocketAddr>,
     second: u64,
     writes_in_second: u64,
 }
@@ -76,7 +80,18 @@
     /// Returns the list of instances with the lag of the faults in force.
     pub(crate) fn lagging_list(&self) -> InstanceList {
         let inner = lock(&self.inner);
-        inner.list.as_of(Duration::from_millis(inner.faults.lag_ms))
+        let mut list = inner.list.as_of(Duration::from_millis(inner.faults.lag_ms));
+        for instance in &mut list.instances {
+            let address = inner.peer_addresses.get(&instance.name);
+            instance.peer_address = address.copied().or(instance.peer_address);
+        }
+        list
+    }
+
+    /// Lists an instance under another peer address than its own.
+    pub(crate) fn set_peer_address(&self, name: &str, address: SocketAddr) {
+        let addresses = &mut lock(&self.inner).peer_addresses;
+        addresses.insert(name.to_owned(), address);
     }
 
     pub(crate) async fn announce(&self, instance: ListedInstance) -> Result<(), PlatformError> {
--- /dev/null
+++ b/lib/testsupport/src/site_faults.rs
@@ -0,0 +1,156 @@
+//! Marked jobs, callers that wait in the background, and the witness of starts.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondhead_net::ExchangeError;
+use almondhead_net::HttpClient;
+use almondhead_net::HttpRequest;
+use almondhead_net::HttpResponse;
+use almondhead_net::HttpSettings;
+use almondhead_net::Method;
+use futures_lite::future::or;
+use serde_json::Value;
+use serde_json::json;
+use smol::Task;
+use smol::Timer;
+
+use crate::fault_proxy::FaultProxy;
+use crate::site::NORTH;
+use crate::site::SERVICE;
+use crate::site::Site;
+use crate::site::TEAM;
+use crate::site::TestResult;
+use crate::site::document;
+use crate::site::json_of;
+use crate::site::with_header;
+
+/// How long a change that the brief promises "within seconds" may take.
+pub const WITHIN_SECONDS: Duration = Duration::from_secs(5);
+
+const POLL: Duration = Duration::from_millis(20);
+const POLLS: u32 = 500;
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+const CALLER_CONNECTIONS: usize = 256;
+
+/// A caller whose requests run in the background.
+#[derive(Clone)]
+pub struct Caller(Arc<HttpClient>);
+
+impl Caller {
+    /// Returns a caller without connections.
+    pub fn new() -> Self {
+        Caller(Arc::new(HttpClient::new(HttpSettings {
+            connections: CALLER_CONNECTIONS,
+            ..HttpSettings::default()
+        })))
+    }
+
+    /// Sends a request, whose answer the task gives.
+    pub fn send(&self, request: HttpRequest) -> Task<Result<HttpResponse, ExchangeError>> {
+        let client = Arc::clone(&self.0);
+        smol::spawn(async move { client.send(request, CALL_TIMEOUT).await })
+    }
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Caller::new()
+    }
+}
+
+/// The body of a job whose tasks carry `marker/0`, `marker/1` and so on in their inputs.
+pub fn marked_job(marker: &str, tasks: usize, run_ms: u64) -> Value {
+    let inputs: Vec<Value> = (0..tasks)
+        .map(|index| json!({ "run_ms": run_ms, "marker": format!("{marker}/{index}") }))
+        .collect();
+    json!({ "service": SERVICE, "team": TEAM, "timeout_ms": 20_000, "inputs": inputs })
+}
+
+/// A submission in a session.
+pub fn put_job(address: SocketAddr, session: &str, number: u64, body: &Value) -> HttpRequest {
+    let path = format!("/v1/sessions/{session}/jobs/{number}");
+    HttpRequest::new(Method::PUT, address, path).with_body(body.to_string())
+}
+
+/// A submission under an idempotency key.
+pub fn post_keyed(address: SocketAddr, key: &str, body: &Value) -> HttpRequest {
+    let request = HttpRequest::new(Method::POST, address, "/v1/jobs");
+    with_header(request, "idempotency-key", key).with_body(body.to_string())
+}
+
+/// A submission of a single task.
+pub fn post_task(address: SocketAddr, body: &Value) -> HttpRequest {
+    HttpRequest::new(Method::POST, address, "/v1/tasks").with_body(body.to_string())
+}
+
+/// Waits until `look` says yes, in a bounded number of looks.
+pub async fn wait_until(what: &str, mut look: impl FnMut() -> bool) -> TestResult {
+    for _ in 0..POLLS {
+        if look() {
+            return Ok(());
+        }
+        Timer::after(POLL).await;
+    }
+    Err(format!("in vain: {what}").into())
+}
+
+impl Site {
+    /// Starts one entry whose only upstream stands behind a proxy.
+    pub async fn start_behind_proxy() -> Result<(Site, FaultProxy), Box<dyn Error>> {
+        let mut site = Site::without_entries(1).await?;
+        let proxy = FaultProxy::start(site.upstreams[0].address()).await?;
+        site.install(1, &document(&[proxy.address()])).await?;
+        site.start_entry("entry-a", NORTH, json!({})).await?;
+        Ok((site, proxy))
+    }
+
+    /// Waits until a field of an entry's status has a value, which must be within seconds.
+    pub async fn within_seconds(&self, entry: usize, field: &str, wanted: u64) -> TestResult {
+        let late = async {
+            Timer::after(WITHIN_SECONDS).await;
+            Err(format!("{field} of entry {entry} is not {wanted} within seconds").into())
+        };
+        or(self.wait_for_status(entry, field, wanted), late).await
+    }
+
+    /// A field of an entry's status now.
+    pub async fn status_of(&self, entry: usize, field: &str) -> Result<Value, Box<dyn Error>> {
+        let operators = self.entries[entry].operators;
+        let request = HttpRequest::new(Method::GET, operators, "/status");
+        Ok(json_of(&self.send(request).await?)?[field].clone())
+    }
+
+    /// How often tasks of the marked job started, over all upstreams.
+    pub fn starts_of(&self, marker: &str) -> u64 {
+        let prefix = format!("{marker}/");
+        let reports = self.upstreams.iter().map(|upstream| upstream.report());
+        let tasks = reports.flat_map(|report| report.tasks);
+        let marked = tasks.filter(|task| task.marker.starts_with(&prefix));
+        marked.map(|task| task.starts).sum()
+    }
+
+    /// Waits until tasks of the marked job started this often.
+    pub async fn wait_for_starts(&self, marker: &str, starts: u64) -> TestResult {
+        let what = format!("{starts} starts of {marker}");
+        wait_until(&what, || self.starts_of(marker) >= starts).await
+    }
+
+    /// Checks that no task started twice, neither under one id nor by its marker under two.
+    pub fn check_at_most_once(&self) -> TestResult {
+        let mut markers = Vec::new();
+        for upstream in &self.upstreams {
+            for task in upstream.report().tasks {
+                if task.starts > 1 || markers.contains(&task.marker) {
+                    return Err(format!("started twice: {task:?}").into());
+                }
+                if !task.marker.is_empty() {
+                    markers.push(task.marker);
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/lib/testsupport/src/upstream/handler.rs
+++ b/lib/testsupport/src/upstream/handler.rs
@@ -51,7 +51,8 @@
             return conn.with_status(Status::BadRequest);
         };
         let traceparent = header(&conn, TRACEPARENT);
-        match self.state.admit(&task_id, traceparent) {
+        let parsed = serde_json::from_slice::<TaskInput>(&input).unwrap_or_default();
+        match self.state.admit(&task_id, parsed.marker, traceparent) {
             Admission::Refused => conn
                 .with_status(Status::ServiceUnavailable)
                 .with_response_header(TASK_ID, task_id.clone())
--- a/lib/testsupport/src/upstream/messages.rs
+++ b/lib/testsupport/src/upstream/messages.rs
@@ -9,11 +9,16 @@
 pub(crate) struct TaskInput {
     /// How long the task runs, in milliseconds.
     pub(crate) run_ms: u64,
+    /// What the record of starts tells the task by, whatever its id.
+    pub(crate) marker: String,
 }
 
 impl Default for TaskInput {
     fn default() -> Self {
-        Self { run_ms: 1 }
+        Self {
+            run_ms: 1,
+            marker: String::new(),
+        }
     }
 }
 
@@ -39,6 +44,8 @@
 pub struct TaskStarts {
     /// The task's id.
     pub task_id: String,
+    /// The marker in its input, or nothing.
+    pub marker: String,
     /// How often it started.
     pub starts: u64,
     /// How often it ran to its end.
--- a/lib/testsupport/src/upstream/state.rs
+++ b/lib/testsupport/src/upstream/state.rs
@@ -67,7 +67,12 @@
     }
 
     /// Records the start of a task, if the guard and the faults let it start.
-    pub(crate) fn admit(self: &Arc<Self>, task_id: &str, traceparent: Option<String>) -> Admission {
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        task_id: &str,
+        marker: String,
+        traceparent: Option<String>,
+    ) -> Admission {
         let mut inner = lock(&self.inner);
         inner.counters.requests += 1;
         let faults = inner.faults.take();
@@ -81,7 +86,9 @@
         }
         let (stop, stopped) = async_channel::bounded(1);
         let run = inner.start(task_id, stop);
-        inner.task(task_id).traceparent = traceparent;
+        let task = inner.task(task_id);
+        task.marker = marker;
+        task.traceparent = traceparent;
         Admission::Started(TaskRun {
             state: Arc::clone(self),
             run,
