--- a/lib/src/submitting.rs
+++ b/lib/src/submitting.rs
@@ -273,7 +273,7 @@
         let waiting = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
         let service_key = job.service;
         let service = &mut self.plan.services[service_key];
-        service.queue.insert(self.now, entry);
+        service.queue_job(self.now, entry);
         service.queued_tasks += waiting;
         self.mark_dirty(service_key);
     }
@@ -336,7 +336,7 @@
         let load = AdmissionLoad {
             tasks,
             queued_tasks: service.queued_tasks,
-            queued_work: service.work_of(outlook.tasks_ahead),
+            queued_work: service.work_of(outlook.tasks_ahead.min(service.queued_tasks)),
             running: service.running,
             slots,
             slots_taken: outlook.slots_taken,
