--- a/entry/tests/promise_leaving_upstream.rs
+++ b/entry/tests/promise_leaving_upstream.rs
@@ -154,6 +154,8 @@
             lag_ms: LIST_LAG_MS,
             ..PlatformFaults::default()
         });
+        Timer::after(2 * Duration::from_millis(LIST_LAG_MS)).await;
+        site.wait_for_siblings(1).await?;
         let load = Load::start(&site);
         Timer::after(BEFORE).await;
         let started_before = starts(&site.upstreams[0]);
