dispatcher: go on with a sibling's batch numbers when it is listed again

A call ended only at its deadline when the platform's list had left a live sibling out and named it again. Cause: its state was made anew, so batches were numbered from the first number again, and the sibling, which had seen those numbers, dropped the batches without a word. Ruled out: tasks waiting at a sibling whose upstream leaves (giving them back did not end it). Conclusion: the numbers only go up.

--- a/lib/src/sibling_table.rs
+++ b/lib/src/sibling_table.rs
@@ -189,7 +189,10 @@
             .collect();
         self.names.retain(|name, _| listed(name));
         for key in &dropped {
-            self.siblings.remove(*key);
+            // A sibling listed again remembers the numbers that it has seen.
+            if let Some(state) = self.siblings.remove(*key) {
+                self.first_number = self.first_number.max(state.last_batch);
+            }
         }
         dropped
     }
