siblings: keep a sibling's work when one list lacks it

Cause: the first list without a sibling ended every task that ran there as unknown, though the platform's list lags and its incarnation had not ended. Ruled out: the peer connection (answers kept coming and were dropped). An unlisted sibling now takes no new work and goes on with what it has until its incarnation is known to have ended.

--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -134,8 +134,8 @@
         let plan = &self.plan;
         let here = self.config.data_centre.clone();
         let one_way = |there: &str| plan.one_way(&here, there);
-        let dropped = self.siblings.update(&membership, one_way);
-        for sibling in dropped {
+        let gone = self.siblings.update(&membership, one_way);
+        for sibling in gone {
             self.lose_batches(sibling);
         }
         let leaving = &membership.leaving_upstreams;
--- a/lib/src/sibling_table.rs
+++ b/lib/src/sibling_table.rs
@@ -161,7 +161,7 @@
 
     /// Takes over a membership; `one_way` gives the distance to a data centre.
     ///
-    /// Gives the siblings that are no longer listed.
+    /// Gives the siblings whose last incarnation heard of has ended, or that were never heard.
     pub(crate) fn update(
         &mut self,
         membership: &Membership,
@@ -181,20 +181,34 @@
             let key = self.siblings.insert(state);
             self.names.insert(listed.name.clone(), key);
         }
-        let listed = |name: &str| membership.siblings.iter().any(|s| &*s.name == name);
-        let names = self.names.iter();
-        let dropped: Vec<SiblingKey> = names
-            .filter(|(name, _)| !listed(name))
-            .map(|(_, key)| *key)
-            .collect();
-        self.names.retain(|name, _| listed(name));
-        for key in &dropped {
-            // A sibling listed again remembers the numbers that it has seen.
-            if let Some(state) = self.siblings.remove(*key) {
-                self.first_number = self.first_number.max(state.last_batch);
+        let unlisted = |state: &SiblingState| {
+            let mut siblings = membership.siblings.iter();
+            !siblings.any(|sibling| sibling.name == state.listed.name)
+        };
+        let mut gone = Vec::new();
+        for key in self.names.values().copied().collect::<Vec<SiblingKey>>() {
+            let state = &mut self.siblings[key];
+            let has_ended = state.incarnation.is_none_or(|i| self.ended.contains(&i));
+            if has_ended {
+                gone.push(key);
+            }
+            if unlisted(state) {
+                // A list may lack a live sibling, which then goes on with what it has.
+                state.listed.leaving = true;
+                if has_ended {
+                    self.drop_sibling(key);
+                }
             }
         }
-        dropped
+        gone
+    }
+
+    fn drop_sibling(&mut self, key: SiblingKey) {
+        // A sibling listed again remembers the numbers that it has seen.
+        if let Some(state) = self.siblings.remove(key) {
+            self.first_number = self.first_number.max(state.last_batch);
+            self.names.swap_remove(&state.listed.name);
+        }
     }
 
     /// Notes that a message came; true when the sender restarted since its last one.
