--- a/ctl/examples/measure/main.rs
+++ b/ctl/examples/measure/main.rs
@@ -1,6 +1,7 @@
 //! Runs a whole site of real processes under load, scenario by scenario, and prints how it fared
 //! under the default policies and under a baseline.
 
+mod process_costs;
 mod row;
 mod scenario;
 mod site;
@@ -115,8 +116,13 @@
 ) -> Result<Row, Box<dyn Error>> {
     let mut site = start_site(policies)?;
     let options = scenario.options(&site, seed, duration_s)?;
+    let before = site.entry_costs();
     let report = site.offer(scenario, options)?;
+    let after = site.entry_costs();
+    let tasks = report.tasks.max(1) as f64;
     Ok(Row {
+        entry_us_per_task: (after.processor_s - before.processor_s) * 1e6 / tasks,
+        entry_resident_kib: after.largest_resident_kib,
         scenario: scenario.name.to_owned(),
         policies: policies.name().to_owned(),
         most_starts_of_one_task: smol::block_on(site.most_starts_of_one_task())?,
--- /dev/null
+++ b/ctl/examples/measure/process_costs.rs
@@ -0,0 +1,38 @@
+//! What the entry processes used of processor and memory, as the kernel tells.
+
+use std::fs;
+use std::io;
+
+use almondhead_macros::message;
+
+/// The kernel's ticks of processor time in a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+const PAGE_KIB: u64 = 4;
+
+/// The entry processes' use, all together.
+#[message]
+#[derive(Copy, Default)]
+pub(crate) struct ProcessCosts {
+    /// Processor time in seconds since each process started.
+    pub(crate) processor_s: f64,
+    /// Resident memory of the largest process in kibibytes.
+    pub(crate) largest_resident_kib: u64,
+}
+
+impl ProcessCosts {
+    /// Adds what one process has used.
+    pub(crate) fn add(&mut self, process: u32) -> io::Result<()> {
+        let stat = fs::read_to_string(format!("/proc/{process}/stat"))?;
+        let after_name = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let number = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
+        let ticks = number(11).unwrap_or(0.0) + number(12).unwrap_or(0.0);
+        self.processor_s += ticks / TICKS_PER_SECOND;
+        let statm = fs::read_to_string(format!("/proc/{process}/statm"))?;
+        let pages = statm.split(' ').nth(1).and_then(|p| p.parse::<u64>().ok());
+        let resident_kib = pages.unwrap_or(0) * PAGE_KIB;
+        self.largest_resident_kib = self.largest_resident_kib.max(resident_kib);
+        Ok(())
+    }
+}
--- a/ctl/examples/measure/row.rs
+++ b/ctl/examples/measure/row.rs
@@ -12,14 +12,18 @@
     pub(crate) policies: String,
     /// The most starts of one task that the upstreams recorded.
     pub(crate) most_starts_of_one_task: u64,
+    /// Processor time of all entries together, in microseconds for each task offered.
+    pub(crate) entry_us_per_task: f64,
+    /// Resident memory of the largest entry in kibibytes.
+    pub(crate) entry_resident_kib: u64,
     /// What the load driver measured.
     pub(crate) report: LoadReport,
 }
 
 const HEADER: &str = "\
 | scenario | policies | singles p50 | p99 | p99.9 | jobs p50 | p99 | p99.9 | wasted | goodput | in burst \
-| complete | not run | failed | no answer | refused in ms p99 | most starts |
-| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+| complete | not run | failed | no answer | refused in ms p99 | most starts | entry us/task | entry MiB |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
 /// Prints the rows as a table of Markdown.
 pub(crate) fn print_rows(rows: &[Row]) {
@@ -48,7 +52,9 @@
             ends_of(report, "broken") + ends_of(report, "unreadable")
         );
         print!("| {:.1} ", report.refusal_ms.p99);
-        println!("| {} |", row.most_starts_of_one_task);
+        print!("| {} ", row.most_starts_of_one_task);
+        let resident_mib = row.entry_resident_kib / 1024;
+        println!("| {:.0} | {resident_mib} |", row.entry_us_per_task);
     }
 }
 
--- a/ctl/examples/measure/site.rs
+++ b/ctl/examples/measure/site.rs
@@ -22,6 +22,7 @@
 use almondhead_testsupport::site::json_of;
 use serde_json::json;
 
+use crate::process_costs::ProcessCosts;
 use crate::scenario::Fault;
 use crate::scenario::PolicySet;
 use crate::scenario::Scenario;
@@ -79,6 +80,16 @@
         entries.map(|entry| entry.operators).collect()
     }
 
+    /// What the entries that still run have used.
+    pub(crate) fn entry_costs(&self) -> ProcessCosts {
+        let mut costs = ProcessCosts::default();
+        for entry in &self.site.entries {
+            // A killed entry has no figures.
+            let _ = costs.add(entry.process.id());
+        }
+        costs
+    }
+
     pub(crate) fn service(&self) -> &str {
         &self.document.services[0].name
     }
