--- a/lib/testsupport/src/core_fakes.rs
+++ b/lib/testsupport/src/core_fakes.rs
@@ -22,120 +22,24 @@
 use almondhead_lib::outcome::JobAnswer;
 use almondhead_lib::outcome::NotStartedCause;
 use almondhead_lib::outcome::UnknownCause;
-use almondhead_lib::peer_message::PeerMessage;
 use almondhead_lib::submission::Needs;
 use almondhead_lib::submission::Submission;
 use almondhead_lib::time::Timestamp;
 use bytes::Bytes;
 use indexmap::IndexMap;
 
-/// A document with two data centres, one service and a few upstreams of two slots.
-pub const DOCUMENT: &str = r#"{
-  "firm": "test",
-  "policies": { "retry_percent": 100 },
-  "data_centres": [
-    { "name": "east", "distances": [{ "to": "west", "one_way_us": 1000 }] },
-    { "name": "west" }
-  ],
-  "services": [{
-    "name": "lookup", "path": "/v1/tasks", "max_deadline_ms": 10000,
-    "default_deadline_ms": 5000, "max_tasks_per_job": 480, "max_input_bytes": 4096
-  }],
-  "upstreams": [
-    { "name": "u1", "data_centre": "east", "service": "lookup", "address": "127.0.0.1:1001",
-      "slots": 2, "connections": 16, "cores": 4, "memory_mib": 1024 },
-    { "name": "u2", "data_centre": "east", "service": "lookup", "address": "127.0.0.1:1002",
-      "slots": 2, "connections": 16, "cores": 4, "memory_mib": 1024 },
-    { "name": "u3", "data_centre": "west", "service": "lookup", "address": "127.0.0.1:1003",
-      "slots": 2, "connections": 16, "cores": 4, "memory_mib": 1024 }
-  ],
-  "teams": [{ "name": "sales", "weight": 1, "max_open_tasks": 40, "max_tasks_per_second": 100000 }]
-}"#;
+pub use crate::core_document::DOCUMENT;
+pub use crate::core_traffic::Envelope;
+pub use crate::core_traffic::KnownJob;
+pub use crate::core_traffic::OpenAttempt;
+pub use crate::core_traffic::OpenClaim;
+pub use crate::core_traffic::TableEnd;
+use crate::core_traffic::TaskStart;
+pub use crate::core_traffic::UpstreamEnd;
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
 const DATA_CENTRES: [&str; 3] = ["east", "east", "west"];
 
-/// How a fake upstream ends an attempt.
-#[derive(Clone, Copy, Debug)]
-pub enum UpstreamEnd {
-    /// It runs the task and answers whole.
-    Finish,
-    /// It runs the task and answers that it failed.
-    Fail,
-    /// Its guard refuses the task.
-    Refuse,
-    /// It runs the task and the answer is lost.
-    Lose,
-}
-
-/// How the fake table ends a claim.
-#[derive(Clone, Copy, Debug)]
-pub enum TableEnd {
-    /// The claim takes effect when it is the first, and the answer arrives.
-    Answer,
-    /// The claim takes effect when it is the first, and the answer is lost.
-    ApplyAndLose,
-    /// Nothing takes effect.
-    Unavailable,
-}
-
-/// A message under way.
-#[derive(Clone, Debug)]
-pub struct Envelope {
-    /// Who sent it.
-    pub sender: PeerIdentity,
-    /// The place of the instance that it is for.
-    pub to: usize,
-    /// The message.
-    pub message: PeerMessage,
-}
-
-/// A task that an upstream got.
-#[derive(Clone, Debug)]
-pub struct OpenAttempt {
-    /// The place of the instance that sent it.
-    pub instance: usize,
-    /// The incarnation that sent it.
-    pub incarnation: Incarnation,
-    /// The attempt.
-    pub attempt: Attempt,
-}
-
-/// A claim that the table has not answered.
-#[derive(Clone, Debug)]
-pub struct OpenClaim {
-    instance: usize,
-    incarnation: Incarnation,
-    claim: u64,
-    key: Arc<str>,
-    writes: bool,
-}
-
-/// A job as its caller knows it.
-#[derive(Debug)]
-pub struct KnownJob {
-    /// Its address.
-    pub address: JobAddress,
-    /// What was submitted.
-    pub submission: Arc<Submission>,
-    /// Requests about it that have no answer.
-    pub open_requests: usize,
-    /// Answers that nothing of it ran.
-    pub not_run_answers: usize,
-    /// Complete answers.
-    pub complete_answers: usize,
-    /// Answers that it failed.
-    pub failed_answers: usize,
-    /// The latest answer.
-    pub last_answer: Option<JobAnswer>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct TaskStart {
-    job: usize,
-    index: usize,
-}
-
 /// Three dispatchers in two data centres, and the fakes round them.
 pub struct CoreFakes {
     /// The time at every dispatcher.
--- a/lib/testsupport/src/lib.rs
+++ b/lib/testsupport/src/lib.rs
@@ -2,7 +2,9 @@
 
 mod broken_body;
 mod command;
+mod core_document;
 pub mod core_fakes;
+mod core_traffic;
 mod fault_proxy;
 mod locking;
 mod platform;
