document: bound a job's tasks by what a peer message holds

Cause: the checker let a service allow 10,000 tasks a job, while a message between instances holds 4,096; a longer job would have been dropped at its home without an answer. One constant now serves both, and the table of broken documents asks for the lower bound.

--- a/lib/src/document_limits.rs
+++ b/lib/src/document_limits.rs
@@ -37,7 +37,7 @@
 pub const MAX_DEADLINE_MS: u32 = 60_000;
 
 /// The most tasks of one job.
-pub const MAX_TASKS_PER_JOB: u32 = 10_000;
+pub const MAX_TASKS_PER_JOB: u32 = 4_096;
 
 /// The most bytes of one task's input.
 pub const MAX_INPUT_BYTES: u32 = 16 * 1024 * 1024;
--- a/lib/src/peer_codec/field.rs
+++ b/lib/src/peer_codec/field.rs
@@ -7,8 +7,10 @@
 use derive_more::Display;
 use derive_more::Error;
 
-/// The most tasks, inputs, results or ends that one message holds.
-pub const MAX_TASKS: usize = 4_096;
+use crate::document_limits::MAX_TASKS_PER_JOB;
+
+/// The most tasks, inputs, results or ends that one message holds: those of one job.
+pub const MAX_TASKS: usize = MAX_TASKS_PER_JOB as usize;
 
 /// The most batches that one cancellation names.
 pub const MAX_BATCHES_PER_CANCEL: usize = 4_096;
--- a/lib/tests/document_check.rs
+++ b/lib/tests/document_check.rs
@@ -92,8 +92,8 @@
     case("30000", "60001", "/services/0/max_deadline_ms", 15, "1 to 60000"),
     case("5000,", "0,", "/services/0/default_deadline_ms", 15, "1 to 60000"),
     case("5000,", "30001,", "/services/0/default_deadline_ms", 15, "above max_deadline_ms"),
-    case("480", "0", "/services/0/max_tasks_per_job", 16, "1 to 10000"),
-    case("480", "10001", "/services/0/max_tasks_per_job", 16, "1 to 10000"),
+    case("480", "0", "/services/0/max_tasks_per_job", 16, "1 to 4096"),
+    case("480", "4097", "/services/0/max_tasks_per_job", 16, "1 to 4096"),
     case("480", "99999999999999999999999999999999999999999", "/services/0/max_tasks_per_job", 16, "whole number"),
     case("480", "null", "/services/0/max_tasks_per_job", 16, "not null"),
     case(r#"65536 }
