document: put a changed order of the queue in force for waiting jobs

Cause: a document that changed the order took effect only for a queue that was empty when it was installed. Ruled out: the choice and admission policies, which are replaced at once. Waiting jobs are now queued anew. Before: the new test's job keeps the old order. After: the next start follows the new one.

--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -10,6 +10,9 @@
 use crate::dispatcher::Timer;
 use crate::document::Document;
 use crate::event::PeerIdentity;
+use crate::job::Job;
+use crate::job::JobStage;
+use crate::keys::JobKey;
 use crate::keys::ServiceKey;
 use crate::keys::SiblingKey;
 use crate::keys::UpstreamKey;
@@ -22,6 +25,7 @@
 use crate::peer_message::ServiceLoad;
 use crate::policies::PlacementPolicy;
 use crate::policies::Prefer;
+use crate::policies::QueuePolicy;
 
 /// The most siblings that get this entry instance's digests.
 const DIGEST_SIBLINGS: usize = 8;
@@ -122,13 +126,31 @@
         let first = !self.plan.is_installed();
         let instances = self.siblings.len() + 1;
         let seed = self.config.seed;
+        let order = document.policies.queue;
+        let reordered = !first && order != self.plan.policies().queue;
         self.plan.install(revision, document, text, instances, seed);
+        if reordered {
+            self.reorder_queues(order);
+        }
         self.change_membership(self.membership.clone());
         if first {
             self.digest_due();
         }
     }
 
+    /// Puts every waiting job in its queue anew, under another order.
+    fn reorder_queues(&mut self, order: QueuePolicy) {
+        for service in self.plan.services.values_mut() {
+            service.reset_queue(order);
+        }
+        let waiting = |job: &Job| job.stage == JobStage::Open && !job.waiting.is_empty();
+        let jobs = self.jobs.iter().filter(|(_, job)| waiting(job));
+        let jobs: Vec<JobKey> = jobs.map(|(key, _)| key).collect();
+        for job in jobs {
+            self.enqueue(job);
+        }
+    }
+
     /// Takes over what is known of live and leaving instances.
     pub(crate) fn change_membership(&mut self, membership: Membership) {
         let plan = &self.plan;
--- a/lib/src/service_state.rs
+++ b/lib/src/service_state.rs
@@ -11,6 +11,7 @@
 use crate::overflow::Overflow;
 use crate::overflow::overflow_for;
 use crate::policies::Policies;
+use crate::policies::QueuePolicy;
 use crate::queue::JobQueue;
 use crate::queue::queue_for;
 use crate::retry_budget::RetryBudget;
@@ -57,7 +58,7 @@
         }
     }
 
-    /// Takes over new policies; the queue keeps its order until it is empty.
+    /// Takes over new policies, but for the order of the queue.
     pub(crate) fn set_policies(&mut self, old: &Policies, new: &Policies, seed: u64) {
         self.choice = choice_for(new.choice, seed);
         self.admission = admission_for(new.admission);
@@ -65,9 +66,12 @@
         if old.retry_percent != new.retry_percent {
             self.retries = RetryBudget::new(new.retry_percent);
         }
-        if self.queue.jobs() == 0 {
-            self.queue = queue_for(new.queue);
-        }
+    }
+
+    /// Empties the queue and takes another order for it.
+    pub(crate) fn reset_queue(&mut self, policy: QueuePolicy) {
+        self.queue = queue_for(policy);
+        self.queued_tasks = 0;
     }
 
     /// Learns from a finished task and what was declared for it.
