--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -54,7 +54,7 @@
         let jobs = &self.jobs;
         let fits = |job: JobKey| {
             let needs = jobs.get(job).map(|job| job.needs);
-            needs.is_some_and(|needs| free.iter().any(|upstream| covers(upstream.has, needs)))
+            needs.is_some_and(|needs| free.iter().any(|upstream| upstream.has.covers(needs)))
         };
         let Some(job) = service.queue.next(self.now, &mut { fits }) else {
             return false;
@@ -62,7 +62,7 @@
         let needs = jobs[job].needs;
         let candidates = free
             .into_iter()
-            .filter(|upstream| covers(upstream.has, needs));
+            .filter(|upstream| upstream.has.covers(needs));
         let candidates: Vec<Candidate> = candidates.map(|upstream| upstream.candidate).collect();
         let Some(chosen) = service.choice.choose(&candidates) else {
             return false;
@@ -360,9 +360,3 @@
 fn is_running(state: &TaskState, attempt: AttemptId) -> bool {
     matches!(state, TaskState::Running(running) if *running == attempt)
 }
-
-fn covers(has: Needs, needs: Needs) -> bool {
-    has.cores >= needs.cores
-        && has.memory_mib >= needs.memory_mib
-        && has.accelerators >= needs.accelerators
-}
--- a/lib/src/submission.rs
+++ b/lib/src/submission.rs
@@ -39,3 +39,12 @@
     /// Accelerators.
     pub accelerators: u32,
 }
+
+impl Needs {
+    /// Whether equipment of this size meets `needs`.
+    pub fn covers(self, needs: Needs) -> bool {
+        self.cores >= needs.cores
+            && self.memory_mib >= needs.memory_mib
+            && self.accelerators >= needs.accelerators
+    }
+}
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -70,9 +70,7 @@
 
     /// Whether its equipment meets the needs.
     pub(crate) fn meets(&self, needs: Needs) -> bool {
-        self.has.cores >= needs.cores
-            && self.has.memory_mib >= needs.memory_mib
-            && self.has.accelerators >= needs.accelerators
+        self.has.covers(needs)
     }
 
     /// Leaves it alone for a moment after its guard refused a task.
