--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Time, randomness and input come in as values; output goes out as typed actions.
 
+mod accepting;
 pub mod action;
 pub mod admission;
 mod authenticator;
--- a/lib/src/submitting.rs
+++ b/lib/src/submitting.rs
@@ -6,9 +6,8 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::accepting::Accepted;
 use crate::action::Action;
-use crate::admission::AdmissionLoad;
-use crate::admission::Refusal;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::Timer;
 use crate::id::JobAddress;
@@ -23,29 +22,18 @@
 use crate::key_table::KeyName;
 use crate::key_table::KeyState;
 use crate::keys::JobKey;
-use crate::keys::ServiceKey;
-use crate::keys::TeamKey;
 use crate::outcome::FailReason;
 use crate::outcome::JobAnswer;
 use crate::outcome::NotRunReason;
 use crate::peer_message::ForwardedRequest;
-use crate::policies::PlacementPolicy;
 use crate::queue::QueueEntry;
 use crate::session::NumberState;
-use crate::submission::Needs;
 use crate::submission::Submission;
 use crate::time::Timestamp;
 
 /// When to come back where nothing better is known.
 pub(crate) const RETRY_SOON: Duration = Duration::from_secs(1);
 
-/// The parts of a submission that passed every check.
-struct Accepted {
-    service: ServiceKey,
-    team: TeamKey,
-    deadline: Timestamp,
-}
-
 impl Dispatcher {
     /// Takes a submission from a caller or, at its home, from a sibling.
     pub(crate) fn submit(
@@ -278,113 +266,6 @@
         self.mark_dirty(service_key);
     }
 
-    fn accept(
-        &mut self,
-        submission: &Submission,
-    ) -> Result<Accepted, (NotRunReason, Option<Duration>)> {
-        if self.leaving {
-            return Err((NotRunReason::Leaving, Some(RETRY_SOON)));
-        }
-        if !self.plan.is_installed() {
-            return Err((NotRunReason::NoDocument, Some(RETRY_SOON)));
-        }
-        if self.jobs.len() >= self.config.limits.jobs {
-            return Err((NotRunReason::TooManyJobs, Some(RETRY_SOON)));
-        }
-        let accepted = self
-            .check_bounds(submission)
-            .map_err(|reason| (reason, None))?;
-        self.check_load(submission, &accepted)
-            .map_err(|refusal| (refusal.reason, Some(refusal.retry_after)))?;
-        Ok(accepted)
-    }
-
-    fn check_bounds(&self, submission: &Submission) -> Result<Accepted, NotRunReason> {
-        let service_key = self.plan.service(&submission.service);
-        let service_key = service_key.ok_or(NotRunReason::UnknownService)?;
-        let team = self.plan.team(&submission.team);
-        let team = team.ok_or(NotRunReason::UnknownTeam)?;
-        let service = &self.plan.services[service_key];
-        let tasks = submission.inputs.len();
-        if tasks == 0 || tasks > service.settings.max_tasks_per_job as usize {
-            return Err(NotRunReason::TaskCount);
-        }
-        let max_input_bytes = service.settings.max_input_bytes as usize;
-        if submission.inputs.iter().any(|i| i.len() > max_input_bytes) {
-            return Err(NotRunReason::InputTooLarge);
-        }
-        let upstreams = service.upstreams.iter();
-        let mut upstreams = upstreams.map(|key| &self.plan.upstreams[*key]);
-        if !upstreams.any(|upstream| upstream.meets(submission.needs)) {
-            return Err(NotRunReason::NeedsNeverMet);
-        }
-        let default = Duration::from_millis(service.settings.default_deadline_ms.into());
-        let longest = Duration::from_millis(service.settings.max_deadline_ms.into());
-        let timeout = submission.timeout.unwrap_or(default).min(longest);
-        Ok(Accepted {
-            service: service_key,
-            team,
-            deadline: self.now + timeout,
-        })
-    }
-
-    fn check_load(&mut self, submission: &Submission, accepted: &Accepted) -> Result<(), Refusal> {
-        let tasks = u32::try_from(submission.inputs.len()).unwrap_or(u32::MAX);
-        let slots = self.reachable_slots(accepted.service, submission.needs);
-        let service = &mut self.plan.services[accepted.service];
-        let outlook = service.queue.outlook(self.now, tasks);
-        let load = AdmissionLoad {
-            tasks,
-            queued_tasks: service.queued_tasks,
-            queued_work: service.work_of(outlook.tasks_ahead.min(service.queued_tasks)),
-            running: service.running,
-            slots,
-            slots_taken: outlook.slots_taken,
-            run_estimate: service.estimate.reading(submission.declared_run),
-            time_left: accepted.deadline.since(self.now),
-            max_queued_tasks: self.plan.document.policies.max_queued_tasks,
-            spread: u32::try_from(self.next_job & 0xffff).unwrap_or_default(),
-        };
-        service.admission.admit(&load)?;
-        let now = self.now;
-        self.plan.teams[accepted.team].quota.admit(now, tasks)
-    }
-
-    /// The slots that tasks with these needs can use: our upstreams', and those free at siblings.
-    fn reachable_slots(&self, service_key: ServiceKey, needs: Needs) -> u32 {
-        let unix_ms = self.unix_now_ms();
-        let service = &self.plan.services[service_key];
-        let upstreams = service
-            .upstreams
-            .iter()
-            .map(|key| &self.plan.upstreams[*key]);
-        let usable = upstreams.filter(|u| u.runs_tasks(self.now, unix_ms) && u.meets(needs));
-        let own: u32 = usable.map(|upstream| upstream.effective_slots).sum();
-        if !self.forwards_overflow() {
-            return own;
-        }
-        let siblings = self.siblings.iter();
-        let heard = siblings.filter(|(_, sibling)| sibling.takes_work(self.now));
-        let loads = heard.filter_map(|(_, sibling)| sibling.load(&service.name));
-        let (mut free, mut slots, mut count) = (0, 0, 0);
-        for load in loads {
-            free += load.free_slots;
-            slots += load.slots;
-            count += 1;
-        }
-        match own {
-            // Without upstreams of its own it gets about one sibling's share of the slots.
-            0 => free.max(slots / count.max(1)),
-            _ => own + free,
-        }
-    }
-
-    /// Whether tasks are handed to siblings that have room.
-    pub(crate) fn forwards_overflow(&self) -> bool {
-        let policies = self.plan.policies();
-        policies.forward_overflow && policies.placement == PlacementPolicy::Owned
-    }
-
     /// Answers a waiter that nothing of its job ran.
     pub(crate) fn answer_not_run(
         &mut self,
--- a/lib/testsupport/src/site_faults.rs
+++ b/lib/testsupport/src/site_faults.rs
@@ -27,7 +27,7 @@
 use crate::site::json_of;
 use crate::site::with_header;
 
-/// How long a change that the brief promises "within seconds" may take.
+/// How long a change that is promised "within seconds" may take.
 pub const WITHIN_SECONDS: Duration = Duration::from_secs(5);
 
 const POLL: Duration = Duration::from_millis(20);
