entry: bind handlers to their context in one place

The callers' and the operators' interface each had the same function, but for the type of the context; one generic function now serves both.

--- a/entry/src/caller_api.rs
+++ b/entry/src/caller_api.rs
@@ -1,6 +1,5 @@
 //! The caller interface over HTTP: sessions, jobs and single tasks.
 
-use std::future::Future;
 use std::sync::Arc;
 
 use trillium::Conn;
@@ -8,6 +7,7 @@
 use trillium::Status;
 use trillium_router::Router;
 
+use crate::bind::bind;
 use crate::caller_context::CallerContext;
 use crate::guarded_transport::note_request;
 use crate::job_handlers::cancel_keyed;
@@ -41,15 +41,6 @@
 
 const NUMBERED_PATH: &str = "/v1/sessions/:session/jobs/:number";
 
-fn bind<F, Answer>(context: &Arc<CallerContext>, handle: F) -> impl Handler + use<F, Answer>
-where
-    F: Fn(Arc<CallerContext>, Conn) -> Answer + Send + Sync + 'static,
-    Answer: Future<Output = Conn> + Send + 'static,
-{
-    let context = Arc::clone(context);
-    move |conn: Conn| handle(Arc::clone(&context), conn)
-}
-
 /// Gives the answer the request's own id, and closes the connection when stopping.
 async fn name_request(context: Arc<CallerContext>, conn: Conn) -> Conn {
     note_request(&conn);
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! One almondhead entry instance: sockets, timers and clients round the dispatcher.
 
 mod answer;
+mod bind;
 mod caller_api;
 mod caller_context;
 mod claim_queue;
--- a/entry/src/operator_api.rs
+++ b/entry/src/operator_api.rs
@@ -1,6 +1,5 @@
 //! The operators' listener: liveness, readiness, metrics and status.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +11,7 @@
 use trillium::Handler;
 use trillium_router::Router;
 
+use crate::bind::bind;
 use crate::clock::Clock;
 use crate::driver::DriverStatus;
 use crate::driver_handle::DriverHandle;
@@ -87,15 +87,6 @@
         .get("/status", bind(context, status))
 }
 
-fn bind<F, Answer>(context: &Arc<OperatorContext>, handle: F) -> impl Handler + use<F, Answer>
-where
-    F: Fn(Arc<OperatorContext>, Conn) -> Answer + Send + Sync + 'static,
-    Answer: Future<Output = Conn> + Send + 'static,
-{
-    let context = Arc::clone(context);
-    move |conn: Conn| handle(Arc::clone(&context), conn)
-}
-
 async fn livez(context: Arc<OperatorContext>, conn: Conn) -> Conn {
     match context.status().await {
         Some(_) => state_reply(conn, 200, "live"),
