--- a/entry/src/clock.rs
+++ b/entry/src/clock.rs
@@ -4,34 +4,43 @@
 use std::time::Instant;
 
 use almondhead_lib::time::Timestamp;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 
-/// Reads time since the start of the process; it goes on while the process is frozen.
+/// Reads time since the start of the process; it goes on while the process is frozen and while
+/// its machine is suspended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
-    started_at: Instant,
+    started_at_us: u64,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub(crate) fn start() -> Self {
         Clock {
-            started_at: Instant::now(),
+            started_at_us: boot_time_us(),
         }
     }
 
     /// The time now.
     pub(crate) fn now(&self) -> Timestamp {
-        let elapsed_us = self.started_at.elapsed().as_micros();
-        Timestamp::from_us(u64::try_from(elapsed_us).unwrap_or(u64::MAX))
+        Timestamp::from_us(boot_time_us().saturating_sub(self.started_at_us))
     }
 
-    /// The instant that `timestamp` names.
+    /// The instant at which this clock shows `timestamp`, unless the machine is suspended by then.
     pub(crate) fn instant(&self, timestamp: Timestamp) -> Instant {
-        let since_start = Duration::from_micros(timestamp.as_us());
-        self.started_at
-            .checked_add(since_start)
-            .unwrap_or_else(|| self.started_at + FAR_FUTURE)
+        let left = timestamp.since(self.now());
+        let now = Instant::now();
+        now.checked_add(left).unwrap_or_else(|| now + FAR_FUTURE)
     }
 }
 
+/// Microseconds since the machine started, suspended or not.
+fn boot_time_us() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let micros = u64::try_from(time.tv_nsec / 1_000).unwrap_or_default();
+    seconds.saturating_mul(1_000_000).saturating_add(micros)
+}
+
 const FAR_FUTURE: Duration = Duration::from_secs(86_400 * 365);
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -70,7 +70,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    match almondhead_entry::run(settings) {
+    match almondhead_entry::run(settings, file) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -1,6 +1,7 @@
 //! Puts the parts of one entry process together, and takes them down in order.
 
 use std::io;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -52,8 +53,10 @@
 use crate::peer::PeerSettings;
 use crate::peer::PeerStartError;
 use crate::peer_nng::NngTransport;
+use crate::reload::watch_settings;
+use crate::run_process::run_leased;
 use crate::settings::Settings;
-use crate::shutdown::stop_signals;
+use crate::shutdown;
 use crate::span_export::SpanExportError;
 use crate::spans::Spans;
 use crate::stopping::Stopping;
@@ -91,17 +94,26 @@
 
 /// Runs an entry process until it was asked to stop and nothing is open any more.
 ///
+/// `settings_file` is where the settings came from; it is read again when it changes.
+///
 /// # Errors
 ///
 /// What kept the process from starting.
-pub fn run(settings: Settings) -> Result<(), ProcessError> {
-    logging::start(&settings.log_filter);
+pub fn run(settings: Settings, settings_file: &Path) -> Result<(), ProcessError> {
+    let _log_writer = logging::start(&settings.log_filter);
     executor::start(settings.executor_threads);
     executor::block_on(async {
-        let stop = stop_signals()?;
-        let process = Process::start(settings).await?;
-        process.serve(stop).await;
-        Ok(())
+        let signals = shutdown::listen()?;
+        let watched = watch_settings(settings_file.into(), settings.clone(), signals.reload);
+        executor::spawn(watched);
+        match settings.leased_runs {
+            Some(leased) => run_leased(settings, leased, signals.stop).await,
+            None => {
+                let process = Process::start(settings).await?;
+                process.serve(signals.stop).await;
+                Ok(())
+            }
+        }
     })
 }
 
--- /dev/null
+++ b/entry/src/run_driver.rs
@@ -0,0 +1,253 @@
+//! The one task that owns the dispatcher of leased runs: events in, actions out.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use almondhead_lib::id::RequestId;
+use almondhead_lib::membership::Sibling;
+use almondhead_lib::peer_message::PeerMessage;
+use almondhead_lib::runs::event::RunEvent;
+use almondhead_lib::runs::run_action::PeerAddress;
+use almondhead_lib::runs::run_action::RunAction;
+use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_lib::runs::run_dispatcher::RunDispatcher;
+use almondhead_lib::runs::run_dispatcher::RunStatus;
+use almondhead_lib::runs::run_id::OrderId;
+use almondhead_lib::runs::run_message::TimedRunMessage;
+use almondhead_lib::runs::run_order::AddressedOrder;
+use almondhead_platform::OrderClient;
+use almondhead_platform::RosterSession;
+use almondhead_platform::StoreClient;
+use async_channel::Receiver;
+use async_channel::Sender;
+use futures_lite::future::or;
+use indexmap::IndexMap;
+
+use crate::clock::Clock;
+use crate::executor;
+use crate::peer::PeerTransport;
+use crate::run_handle::RunHandle;
+use crate::run_metrics::RunMetrics;
+use crate::timer::TimerService;
+
+/// What the driver is asked to do.
+pub(crate) enum RunCommand {
+    /// Hand an event to the dispatcher.
+    Event(RunEvent),
+    /// Hand a caller's request to the dispatcher and answer it on `reply`.
+    Request {
+        /// The request.
+        request: RequestId,
+        /// The event that names the request.
+        event: RunEvent,
+        /// Where its answer goes.
+        reply: Sender<RunAnswer>,
+    },
+    /// Read the dispatcher's status.
+    Status(Sender<RunDriverStatus>),
+}
+
+/// A reading of the dispatcher's state.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RunDriverStatus {
+    /// The dispatcher's own reading.
+    pub(crate) dispatcher: RunStatus,
+    /// Whether nothing is open: no request, no job, no task held for another.
+    pub(crate) is_idle: bool,
+}
+
+/// What carries out the dispatcher's actions.
+pub(crate) struct RunEffects {
+    pub(crate) orders: Arc<OrderClient>,
+    pub(crate) store: Arc<StoreClient>,
+    pub(crate) peers: Arc<dyn PeerTransport>,
+    pub(crate) metrics: RunMetrics,
+    pub(crate) handle: RunHandle,
+    /// Asks the roster's session to write the own row again.
+    pub(crate) register_again: Sender<()>,
+}
+
+enum Wakeup {
+    Command(RunCommand),
+    Timer,
+    Closed,
+}
+
+/// Owns the dispatcher and the requests that wait for their answers.
+pub(crate) struct RunDriver {
+    dispatcher: RunDispatcher,
+    clock: Clock,
+    timer: TimerService,
+    commands: Receiver<RunCommand>,
+    effects: RunEffects,
+    replies: IndexMap<RequestId, Sender<RunAnswer>>,
+    actions: Vec<RunAction>,
+    follow_ups: VecDeque<RunEvent>,
+}
+
+impl RunDriver {
+    pub(crate) fn new(
+        dispatcher: RunDispatcher,
+        clock: Clock,
+        commands: Receiver<RunCommand>,
+        effects: RunEffects,
+    ) -> Self {
+        RunDriver {
+            dispatcher,
+            clock,
+            timer: TimerService::new(clock),
+            commands,
+            effects,
+            replies: IndexMap::new(),
+            actions: Vec::new(),
+            follow_ups: VecDeque::new(),
+        }
+    }
+
+    /// Runs until every sender of commands is gone.
+    pub(crate) async fn run(mut self) {
+        loop {
+            match self.next_wakeup().await {
+                Wakeup::Command(command) => self.take(command),
+                Wakeup::Timer => self.handle(RunEvent::Tick),
+                Wakeup::Closed => return,
+            }
+        }
+    }
+
+    /// Waits for a command or the dispatcher's timer; a timer that is due goes first.
+    async fn next_wakeup(&mut self) -> Wakeup {
+        let due = self.dispatcher.next_wakeup();
+        if due.is_some_and(|due| due <= self.clock.now()) {
+            return Wakeup::Timer;
+        }
+        if let Ok(command) = self.commands.try_recv() {
+            return Wakeup::Command(command);
+        }
+        let commands = &self.commands;
+        let timer = &self.timer;
+        let command = async {
+            match commands.recv().await {
+                Ok(command) => Wakeup::Command(command),
+                Err(_) => Wakeup::Closed,
+            }
+        };
+        let timer = async {
+            timer.at(due).await;
+            Wakeup::Timer
+        };
+        or(command, timer).await
+    }
+
+    fn take(&mut self, command: RunCommand) {
+        match command {
+            RunCommand::Event(event) => {
+                if let RunEvent::RequestDropped { request } = &event {
+                    self.replies.swap_remove(request);
+                }
+                self.handle(event);
+            }
+            RunCommand::Request {
+                request,
+                event,
+                reply,
+            } => {
+                self.replies.insert(request, reply);
+                self.handle(event);
+            }
+            RunCommand::Status(reply) => {
+                // Whoever asked may have gone.
+                reply.try_send(self.status()).ok();
+            }
+        }
+    }
+
+    /// Hands an event to the dispatcher, and then those that its actions bring about at once.
+    fn handle(&mut self, event: RunEvent) {
+        self.follow_ups.push_back(event);
+        while let Some(event) = self.follow_ups.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.dispatcher
+                .handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.execute(action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn execute(&mut self, action: RunAction) {
+        match action {
+            RunAction::Answer { request, answer } => {
+                if let Some(reply) = self.replies.swap_remove(&request) {
+                    // The caller may have gone.
+                    reply.try_send(answer).ok();
+                }
+            }
+            RunAction::Order { order, order_to } => self.give_order(order, order_to),
+            RunAction::SendPeer { instance, message } => self.send_peer(instance, message),
+            RunAction::SetPeers(peers) => {
+                let peers: Vec<Sibling> = peers.into_iter().map(sibling).collect();
+                self.effects.peers.set_siblings(&peers);
+            }
+            RunAction::RemoveMember { name, row_version } => {
+                self.remove_member(name, row_version);
+            }
+            RunAction::RegisterAgain => {
+                // A request that waits already says the same.
+                self.effects.register_again.try_send(()).ok();
+            }
+        }
+    }
+
+    fn give_order(&self, order: OrderId, order_to: AddressedOrder) {
+        let orders = Arc::clone(&self.effects.orders);
+        let handle = self.effects.handle.clone();
+        let metrics = self.effects.metrics.clone();
+        executor::spawn(async move {
+            let given_at = std::time::Instant::now();
+            let answer = orders.give(&order_to).await;
+            metrics.count_order(&order_to.order, &answer, given_at.elapsed());
+            handle.send(RunEvent::OrderAnswered { order, answer });
+        });
+    }
+
+    fn send_peer(&mut self, instance: Arc<str>, message: TimedRunMessage) {
+        let envelope = PeerMessage::Run(message);
+        let Err(error) = self.effects.peers.send(&instance, &envelope) else {
+            return;
+        };
+        tracing::debug!(%error, "peer message not sent");
+        if let PeerMessage::Run(message) = envelope {
+            let event = RunEvent::PeerNotSent { instance, message };
+            self.follow_ups.push_back(event);
+        }
+    }
+
+    fn remove_member(&self, name: Arc<str>, row_version: u64) {
+        let store = Arc::clone(&self.effects.store);
+        executor::spawn(async move {
+            match RosterSession::remove(&store, &name, row_version).await {
+                Ok(outcome) => tracing::info!(instance = %name, ?outcome, "removal of an instance"),
+                Err(error) => tracing::warn!(instance = %name, %error, "removal of an instance"),
+            }
+        });
+    }
+
+    fn status(&self) -> RunDriverStatus {
+        RunDriverStatus {
+            dispatcher: self.dispatcher.status(),
+            is_idle: self.dispatcher.is_idle() && self.replies.is_empty(),
+        }
+    }
+}
+
+fn sibling(peer: PeerAddress) -> Sibling {
+    Sibling {
+        name: peer.name,
+        data_centre: peer.data_centre,
+        peer_address: peer.address,
+        incarnation: Some(peer.incarnation),
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/entry/src/run_handle.rs
@@ -0,0 +1,94 @@
+//! How the other parts of the process reach the driver of leased runs.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use almondhead_lib::id::RequestId;
+use almondhead_lib::runs::event::RunEvent;
+use almondhead_lib::runs::run_answer::RunAnswer;
+use async_channel::Receiver;
+use async_channel::Sender;
+
+use crate::run_driver::RunCommand;
+use crate::run_driver::RunDriverStatus;
+
+/// Sends events to the driver; clones share one queue.
+///
+/// The queue needs no bound of its own: the listener bounds requests, and the dispatcher orders.
+#[derive(Clone)]
+pub(crate) struct RunHandle {
+    commands: Sender<RunCommand>,
+    next_request: Arc<AtomicU64>,
+}
+
+/// A caller's request whose answer is still to come.
+pub(crate) struct OpenRunRequest {
+    request: RequestId,
+    answer: Receiver<RunAnswer>,
+    handle: RunHandle,
+    is_answered: bool,
+}
+
+impl RunHandle {
+    /// A handle with the receiver for the driver.
+    pub(crate) fn new() -> (Self, Receiver<RunCommand>) {
+        let (commands, receiver) = async_channel::unbounded();
+        let handle = RunHandle {
+            commands,
+            next_request: Arc::new(AtomicU64::new(1)),
+        };
+        (handle, receiver)
+    }
+
+    /// Hands over an event.
+    pub(crate) fn send(&self, event: RunEvent) {
+        // Fails only when the driver has ended, with the process.
+        self.commands.try_send(RunCommand::Event(event)).ok();
+    }
+
+    /// Hands over a caller's request.
+    pub(crate) fn request(&self, event: impl FnOnce(RequestId) -> RunEvent) -> OpenRunRequest {
+        let request = RequestId(self.next_request.fetch_add(1, Ordering::Relaxed));
+        let (reply, answer) = async_channel::bounded(1);
+        let command = RunCommand::Request {
+            request,
+            event: event(request),
+            reply,
+        };
+        // When the driver has ended, the answer's channel is closed and says so.
+        self.commands.try_send(command).ok();
+        OpenRunRequest {
+            request,
+            answer,
+            handle: self.clone(),
+            is_answered: false,
+        }
+    }
+
+    /// Reads the dispatcher's status; none when the driver has ended.
+    pub(crate) async fn status(&self) -> Option<RunDriverStatus> {
+        let (reply, status) = async_channel::bounded(1);
+        self.commands.send(RunCommand::Status(reply)).await.ok()?;
+        status.recv().await.ok()
+    }
+}
+
+impl OpenRunRequest {
+    /// Waits for the answer; none when the driver has ended.
+    pub(crate) async fn answer(&mut self) -> Option<RunAnswer> {
+        let answer = self.answer.recv().await.ok();
+        self.is_answered = true;
+        answer
+    }
+}
+
+impl Drop for OpenRunRequest {
+    /// Tells the dispatcher of a request that nobody waits for any more.
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let request = self.request;
+            self.handle.send(RunEvent::RequestDropped { request });
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/run_process.rs
@@ -0,0 +1,270 @@
+//! Puts the parts of a process that dispatches leased runs together, and takes them down in order.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use almondhead_lib::event::PeerIdentity;
+use almondhead_lib::id::Incarnation;
+use almondhead_lib::peer_message::PeerMessage;
+use almondhead_lib::runs::event::RunEvent;
+use almondhead_lib::runs::run_dispatcher::RunDispatcher;
+use almondhead_lib::runs::run_settings::RunLimits;
+use almondhead_lib::runs::run_settings::RunSettings;
+use almondhead_net::Bytes;
+use almondhead_platform::EventSink;
+use almondhead_platform::OrderClient;
+use almondhead_platform::RosterSession;
+use almondhead_platform::StoreClient;
+use almondhead_platform::StoreContact;
+use almondhead_platform::StoredIntended;
+use almondhead_platform::peer_key;
+use almondhead_platform::watch_intended;
+use almondhead_platform::watch_upstreams;
+use async_channel::Receiver;
+use futures_lite::future::or;
+use smol::Timer;
+
+use crate::clock::Clock;
+use crate::executor;
+use crate::late_transport::LateTransport;
+use crate::listener;
+use crate::peer::Incoming;
+use crate::peer::PeerSettings;
+use crate::peer_nng::NngTransport;
+use crate::process::ProcessError;
+use crate::run_api::RunContext;
+use crate::run_api::ready_api;
+use crate::run_api::run_api;
+use crate::run_api::run_metrics_api;
+use crate::run_driver::RunDriver;
+use crate::run_driver::RunEffects;
+use crate::run_handle::RunHandle;
+use crate::run_metrics::RunMetrics;
+use crate::settings::LeasedRuns;
+use crate::settings::Settings;
+use crate::stopping::Stopping;
+
+/// How long after a failed call for the peer key the next one follows.
+const KEY_RETRY: Duration = Duration::from_millis(200);
+
+/// How often a stopping process looks whether anything is still open.
+const IDLE_POLL: Duration = Duration::from_millis(20);
+
+/// How long nothing must be open before a stopping process ends: callers on open connections may
+/// still send, and a balancer needs two looks a second apart to notice.
+const QUIET: Duration = Duration::from_millis(400);
+
+/// How long after the notice to stop a process ends whatever is open.
+///
+/// The platform kills it 6 s after the notice.
+const STOP_BY: Duration = Duration::from_millis(5_200);
+
+/// How long the last calls to the store of a stopping process may take.
+const LAST_CALLS: Duration = Duration::from_millis(300);
+
+/// Runs a process until it was asked to stop and nothing is open any more.
+pub(crate) async fn run_leased(
+    settings: Settings,
+    leased: LeasedRuns,
+    stop: Receiver<()>,
+) -> Result<(), ProcessError> {
+    let process = RunProcess::start(settings, leased).await?;
+    process.serve(stop).await;
+    Ok(())
+}
+
+struct RunProcess {
+    handle: RunHandle,
+    stopping: Stopping,
+    leave: async_channel::Sender<()>,
+    left: Receiver<()>,
+}
+
+impl RunProcess {
+    async fn start(settings: Settings, leased: LeasedRuns) -> Result<Self, ProcessError> {
+        let clock = Clock::start();
+        let callers = listener::bind("callers", settings.caller_address)?;
+        let ready = listener::bind("readiness", leased.ready_address)?;
+        let operators = listener::bind("operators", settings.operator_address)?;
+        let metrics = RunMetrics::new()?;
+        let stopping = Stopping::default();
+        let (handle, commands) = RunHandle::new();
+        let context = Arc::new(RunContext {
+            handle: handle.clone(),
+            metrics: metrics.clone(),
+            limits: settings.limits.clone(),
+            stopping: stopping.clone(),
+        });
+        let limits = &settings.limits;
+        listener::serve(ready, limits, ready_api(&context));
+        listener::serve(operators, limits, run_metrics_api(&context));
+        listener::serve(callers, limits, run_api(&context));
+
+        let identity = PeerIdentity {
+            instance: Arc::from(settings.instance.as_str()),
+            incarnation: Incarnation(rand::random()),
+        };
+        tracing::info!(
+            instance = %identity.instance, incarnation = %identity.incarnation,
+            callers = %settings.caller_address, peers = %settings.peer_address,
+            store = %settings.platform_address, "started"
+        );
+        let sink = event_sink(&handle);
+        let contact = Arc::new(StoreContact::new(Arc::clone(&sink)));
+        let timeout = Duration::from_millis(settings.platform.timeout_ms);
+        let store = StoreClient::new(settings.platform_address, timeout, contact);
+        let store = Arc::new(store);
+        let peers = Arc::new(LateTransport::default());
+        let (register_again, registrations) = async_channel::bounded(1);
+        let effects = RunEffects {
+            orders: Arc::new(OrderClient::default()),
+            store: Arc::clone(&store),
+            peers: peers.clone(),
+            metrics,
+            handle: handle.clone(),
+            register_again,
+        };
+        let run_settings = RunSettings {
+            instance: Arc::clone(&identity.instance),
+            data_centre: Arc::from(settings.data_centre.as_str()),
+            incarnation: identity.incarnation,
+            limits: RunLimits {
+                lease: Duration::from_millis(leased.lease_ms),
+                open_jobs: settings.limits.jobs,
+                ..RunLimits::default()
+            },
+        };
+        let dispatcher = RunDispatcher::new(run_settings, Box::new(StoredIntended));
+        executor::spawn(RunDriver::new(dispatcher, clock, commands, effects).run());
+        let key = shared_key(&store, &settings).await;
+        let (transport, incoming) = NngTransport::start(PeerSettings {
+            identity: identity.clone(),
+            listen: settings.peer_address,
+            key: key.to_vec(),
+        })?;
+        peers.start(transport);
+        executor::spawn(take_messages(incoming, handle.clone()));
+        executor::spawn(watch_intended(Arc::clone(&store), Arc::clone(&sink)));
+        executor::spawn(watch_upstreams(Arc::clone(&store), Arc::clone(&sink)));
+        let session = RosterSession::new(
+            store,
+            settings.instance,
+            identity.incarnation,
+            settings.data_centre,
+            settings.peer_address,
+        );
+        let (leave, leaving) = async_channel::bounded(1);
+        let (left_sender, left) = async_channel::bounded(1);
+        executor::spawn(keep_registered(
+            session,
+            sink,
+            registrations,
+            leaving,
+            left_sender,
+        ));
+        Ok(RunProcess {
+            handle,
+            stopping,
+            leave,
+            left,
+        })
+    }
+
+    async fn serve(self, stop: Receiver<()>) {
+        stop.recv().await.ok();
+        let asked_at = Instant::now();
+        tracing::info!("stopping");
+        self.stopping.set();
+        self.handle.send(RunEvent::StopRequested);
+        self.leave.send(()).await.ok();
+        let mut quiet_since = Instant::now();
+        while asked_at.elapsed() < STOP_BY && quiet_since.elapsed() < QUIET {
+            let status = self.handle.status().await;
+            if status.is_none_or(|status| !status.is_idle) {
+                quiet_since = Instant::now();
+            }
+            Timer::after(IDLE_POLL).await;
+        }
+        // The session takes its row away, and says so.
+        self.leave.close();
+        or(async { self.left.recv().await.ok() }, async {
+            Timer::after(LAST_CALLS).await;
+            None
+        })
+        .await;
+        let open = self.handle.status().await.unwrap_or_default();
+        tracing::info!(open_jobs = open.dispatcher.open_jobs, "stopped");
+    }
+}
+
+fn event_sink(handle: &RunHandle) -> EventSink {
+    let handle = handle.clone();
+    Arc::new(move |event| handle.send(event))
+}
+
+/// The key of the settings, else the one that the site keeps in the store.
+async fn shared_key(store: &StoreClient, settings: &Settings) -> Bytes {
+    if !settings.peer_key.expose().is_empty() {
+        return Bytes::copy_from_slice(settings.peer_key.expose());
+    }
+    loop {
+        match peer_key(store).await {
+            Ok(key) => return key,
+            Err(error) => {
+                tracing::warn!(%error, "key of the instances not read");
+                Timer::after(KEY_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Hands over what other instances send, as long as the transport lives.
+async fn take_messages(incoming: Incoming, handle: RunHandle) {
+    while let Ok(envelope) = incoming.recv().await {
+        if let PeerMessage::Run(message) = envelope.message {
+            handle.send(RunEvent::PeerMessage {
+                sender: envelope.sender,
+                message,
+            });
+        }
+    }
+}
+
+/// Keeps the own row beating until the process leaves, and then takes it away.
+async fn keep_registered(
+    mut session: RosterSession,
+    sink: EventSink,
+    registrations: Receiver<()>,
+    leaving: Receiver<()>,
+    left: async_channel::Sender<()>,
+) {
+    loop {
+        if registrations.try_recv().is_ok() {
+            session.beat_now();
+        }
+        let is_leaving = or(
+            async {
+                session.step(&sink).await;
+                false
+            },
+            async {
+                leaving.recv().await.ok();
+                true
+            },
+        );
+        if is_leaving.await {
+            break;
+        }
+    }
+    while let Err(error) = session.leave().await {
+        tracing::warn!(%error, "leaving not announced");
+        Timer::after(KEY_RETRY).await;
+    }
+    // Closed once nothing is open any more.
+    while leaving.recv().await.is_ok() {}
+    if let Err(error) = session.deregister().await {
+        tracing::warn!(%error, "own row not taken away");
+    }
+    left.send(()).await.ok();
+}
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -47,6 +47,19 @@
     pub platform: PlatformSettings,
     /// The bounds on what callers may ask and on what is kept.
     pub limits: Limits,
+    /// How it dispatches leased runs on the operators' platform; none for tasks over HTTP.
+    pub leased_runs: Option<LeasedRuns>,
+}
+
+/// How the process dispatches leased runs on the operators' platform.
+#[value]
+#[derive(Copy)]
+pub struct LeasedRuns {
+    /// Where the platform asks whether to send callers here.
+    pub ready_address: SocketAddr,
+    /// How long upstreams keep running what nobody holds, in milliseconds: the longest lease that
+    /// they grant.
+    pub lease_ms: u64,
 }
 
 /// Where spans are written, one JSON object a line.
@@ -182,6 +195,7 @@
 }
 
 fn read_settings(reader: &mut SettingsReader, problems: &mut Vec<SettingsProblem>) -> Settings {
+    let leased_runs = read_leased_runs(reader, problems);
     Settings {
         instance: reader.short_text("instance", MAX_INSTANCE_BYTES),
         data_centre: reader.short_text("data_centre", MAX_INSTANCE_BYTES),
@@ -190,18 +204,36 @@
         operator_address: reader.address("operator_address"),
         platform_address: reader.address("platform_address"),
         document_file: reader.optional_text("document_file").map(PathBuf::from),
-        peer_key: read_peer_key(reader),
+        peer_key: read_peer_key(reader, leased_runs.is_some()),
         executor_threads: reader.count("executor_threads", 1..=256, 2),
         log_filter: read_log_filter(reader),
         trace_output: read_trace_output(reader),
         stop_notice_ms: reader.number("stop_notice_ms", 0..=600_000, 2_000),
         platform: read_platform(reader.object("platform"), problems),
         limits: read_limits(reader.object("limits"), problems),
+        leased_runs,
     }
 }
 
-fn read_peer_key(reader: &mut SettingsReader) -> Secret {
-    let key = reader.text("peer_key");
+fn read_leased_runs(
+    reader: &mut SettingsReader,
+    problems: &mut Vec<SettingsProblem>,
+) -> Option<LeasedRuns> {
+    let mut reader = reader.optional_object("leased_runs")?;
+    let leased_runs = LeasedRuns {
+        ready_address: reader.address("ready_address"),
+        lease_ms: reader.number("lease_ms", 100..=60_000, 1_000),
+    };
+    problems.extend(reader.finish());
+    Some(leased_runs)
+}
+
+/// The key that the instances share; those of leased runs may keep it in the platform's store.
+fn read_peer_key(reader: &mut SettingsReader, may_be_stored: bool) -> Secret {
+    let key = match may_be_stored {
+        true => reader.optional_text("peer_key").unwrap_or_default(),
+        false => reader.text("peer_key"),
+    };
     if !key.is_empty() && key.len() < MIN_PEER_KEY_BYTES {
         reader.report_field("peer_key", "must hold at least 32 bytes");
     }
--- a/entry/src/settings_reader.rs
+++ b/entry/src/settings_reader.rs
@@ -109,6 +109,11 @@
         SettingsReader::new(path, value.unwrap_or_else(|| Map::new().into()))
     }
 
+    /// A part of the settings that may be left out.
+    pub(crate) fn optional_object(&mut self, name: &str) -> Option<SettingsReader> {
+        self.fields.contains_key(name).then(|| self.object(name))
+    }
+
     pub(crate) fn report_field(&mut self, name: &str, reason: &str) {
         self.report(format!("{}/{name}", self.path), reason);
     }
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -76,6 +76,8 @@
             PeerMessage::DocumentBody { revision, text } => {
                 self.take_document(revision, &text);
             }
+            // Leased runs have a dispatcher of their own.
+            PeerMessage::Run(_) => {}
         }
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -70,6 +70,7 @@
 mod run_histogram;
 mod running_attempt;
 mod running_mean;
+pub mod runs;
 pub mod schema;
 mod sent_batch;
 pub mod service;
--- a/lib/src/message_counts.rs
+++ b/lib/src/message_counts.rs
@@ -57,7 +57,8 @@
             PeerMessage::CancelBatches { .. } => &mut self.cancels,
             PeerMessage::Digest(_)
             | PeerMessage::DocumentRequest { .. }
-            | PeerMessage::DocumentBody { .. } => &mut self.control,
+            | PeerMessage::DocumentBody { .. }
+            | PeerMessage::Run(_) => &mut self.control,
         };
         *counter += 1;
     }
--- a/lib/src/peer_codec.rs
+++ b/lib/src/peer_codec.rs
@@ -7,6 +7,8 @@
 mod batch;
 mod field;
 mod outcome;
+mod run;
+mod run_load;
 mod submission;
 
 use std::sync::Arc;
@@ -84,6 +86,7 @@
         PeerMessage::DocumentBody { revision, text } => {
             Kind::DocumentBody(proto::DocumentBody { revision, text })
         }
+        PeerMessage::Run(message) => Kind::Run(message.into()),
     }
 }
 
@@ -137,6 +140,7 @@
             revision: body.revision,
             text: body.text,
         },
+        Kind::Run(message) => PeerMessage::Run(message.try_into()?),
     };
     Ok(message)
 }
--- /dev/null
+++ b/lib/src/peer_codec/run.rs
@@ -0,0 +1,364 @@
+//! Messages about leased runs on the wire.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::peer_codec::field::DecodeError;
+use crate::peer_codec::field::MAX_BATCHES_PER_CANCEL;
+use crate::peer_codec::field::MAX_TASKS;
+use crate::peer_codec::field::bounded;
+use crate::peer_codec::field::name;
+use crate::peer_codec::field::optional_name;
+use crate::peer_codec::field::required;
+use crate::peer_codec::field::to_us;
+use crate::peer_proto as proto;
+use crate::peer_proto::run_end::End;
+use crate::peer_proto::timed_run_message::Kind;
+use crate::runs::run_id::JobId;
+use crate::runs::run_id::RunId;
+use crate::runs::run_id::TaskName;
+use crate::runs::run_message::FoundEnd;
+use crate::runs::run_message::NotStarted;
+use crate::runs::run_message::PeerReport;
+use crate::runs::run_message::PlacedTask;
+use crate::runs::run_message::RunBatch;
+use crate::runs::run_message::RunEnd;
+use crate::runs::run_message::RunEnds;
+use crate::runs::run_message::RunMessage;
+use crate::runs::run_message::StepDemand;
+use crate::runs::run_message::TaskEnd;
+use crate::runs::run_message::TimedRunMessage;
+use crate::time::Timestamp;
+
+impl From<TimedRunMessage> for proto::TimedRunMessage {
+    fn from(timed: TimedRunMessage) -> Self {
+        proto::TimedRunMessage {
+            sent_at_us: timed.sent_at.as_us(),
+            echo_us: timed.echo.map(Timestamp::as_us),
+            kind: Some(encode_kind(timed.message)),
+        }
+    }
+}
+
+impl TryFrom<proto::TimedRunMessage> for TimedRunMessage {
+    type Error = DecodeError;
+
+    fn try_from(timed: proto::TimedRunMessage) -> Result<Self, DecodeError> {
+        Ok(TimedRunMessage {
+            sent_at: Timestamp::from_us(timed.sent_at_us),
+            echo: timed.echo_us.map(Timestamp::from_us),
+            message: decode_kind(required("run.kind", timed.kind)?)?,
+        })
+    }
+}
+
+fn encode_kind(message: RunMessage) -> Kind {
+    match message {
+        RunMessage::Place(batch) => Kind::Place(batch.into()),
+        RunMessage::Adopt { upstream, batch } => Kind::Adopt(proto::AdoptRuns {
+            upstream: upstream.to_string(),
+            batch: Some(batch.into()),
+        }),
+        RunMessage::Ends(ends) => Kind::Ends(proto::RunEnds {
+            batch: ends.batch,
+            ends: ends.ends.into_iter().map(Into::into).collect(),
+            digest: Some(ends.digest.into()),
+        }),
+        RunMessage::Cancel { batches } => Kind::Cancel(proto::CancelRuns { batches }),
+        RunMessage::Found {
+            upstream,
+            running,
+            ended,
+        } => Kind::Found(proto::FoundRuns {
+            upstream: upstream.to_string(),
+            running: running.into_iter().map(Into::into).collect(),
+            ended: ended.into_iter().map(Into::into).collect(),
+        }),
+        RunMessage::Report(report) => Kind::Report(proto::PeerReport {
+            digest: Some(report.digest.into()),
+            held: report.held,
+            highest_taken: report.highest_taken,
+            open: report.open,
+            highest_sent: report.highest_sent,
+        }),
+        RunMessage::CancelJob { job } => Kind::CancelJob(proto::CancelJob {
+            job: job.to_string(),
+        }),
+        RunMessage::IntendedRequest { have_version } => {
+            Kind::IntendedRequest(proto::IntendedRequest { have_version })
+        }
+        RunMessage::IntendedBody { version, body } => {
+            Kind::IntendedBody(proto::IntendedBody { version, body })
+        }
+    }
+}
+
+fn decode_kind(kind: Kind) -> Result<RunMessage, DecodeError> {
+    let message = match kind {
+        Kind::Place(batch) => RunMessage::Place(batch.try_into()?),
+        Kind::Adopt(adopt) => RunMessage::Adopt {
+            upstream: name("adopt.upstream", adopt.upstream)?,
+            batch: required("adopt.batch", adopt.batch)?.try_into()?,
+        },
+        Kind::Ends(ends) => RunMessage::Ends(RunEnds {
+            batch: ends.batch,
+            ends: decode_list("ends.ends", ends.ends, MAX_TASKS)?,
+            digest: required("ends.digest", ends.digest)?.try_into()?,
+        }),
+        Kind::Cancel(cancel) => RunMessage::Cancel {
+            batches: bounded("cancel.batches", cancel.batches, MAX_BATCHES_PER_CANCEL)?,
+        },
+        Kind::Found(found) => RunMessage::Found {
+            upstream: name("found.upstream", found.upstream)?,
+            running: decode_list("found.running", found.running, MAX_TASKS)?,
+            ended: decode_list("found.ended", found.ended, MAX_TASKS)?,
+        },
+        Kind::Report(report) => RunMessage::Report(PeerReport {
+            digest: required("report.digest", report.digest)?.try_into()?,
+            held: bounded("report.held", report.held, MAX_BATCHES_PER_CANCEL)?,
+            highest_taken: report.highest_taken,
+            open: bounded("report.open", report.open, MAX_BATCHES_PER_CANCEL)?,
+            highest_sent: report.highest_sent,
+        }),
+        Kind::CancelJob(cancel) => RunMessage::CancelJob {
+            job: job("cancel_job.job", &cancel.job)?,
+        },
+        Kind::IntendedRequest(request) => RunMessage::IntendedRequest {
+            have_version: request.have_version,
+        },
+        Kind::IntendedBody(body) => RunMessage::IntendedBody {
+            version: body.version,
+            body: body.body,
+        },
+    };
+    Ok(message)
+}
+
+/// A list of at most `max_items`, each decoded.
+fn decode_list<P, T>(
+    field: &'static str,
+    list: Vec<P>,
+    max_items: usize,
+) -> Result<Vec<T>, DecodeError>
+where
+    T: TryFrom<P, Error = DecodeError>,
+{
+    let list = bounded(field, list, max_items)?;
+    list.into_iter().map(TryInto::try_into).collect()
+}
+
+fn job(field: &'static str, text: &str) -> Result<JobId, DecodeError> {
+    JobId::parse(text).ok_or(DecodeError::OutOfRange { field })
+}
+
+impl From<RunBatch> for proto::RunBatch {
+    fn from(batch: RunBatch) -> Self {
+        proto::RunBatch {
+            number: batch.number,
+            job: batch.job.to_string(),
+            service: batch.service.to_string(),
+            spec: batch.spec.to_string(),
+            priority: batch.priority,
+            objective_left_us: batch.objective_left_us,
+            deadline_left_us: to_us(batch.deadline_left),
+            demands: batch.demands.into_iter().map(Into::into).collect(),
+            tasks: batch.tasks.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<proto::RunBatch> for RunBatch {
+    type Error = DecodeError;
+
+    fn try_from(batch: proto::RunBatch) -> Result<Self, DecodeError> {
+        Ok(RunBatch {
+            number: batch.number,
+            job: job("run_batch.job", &batch.job)?,
+            service: name("run_batch.service", batch.service)?,
+            spec: Arc::from(batch.spec),
+            priority: batch.priority,
+            objective_left_us: batch.objective_left_us,
+            deadline_left: Duration::from_micros(batch.deadline_left_us),
+            demands: decode_list("run_batch.demands", batch.demands, MAX_TASKS)?,
+            tasks: decode_list("run_batch.tasks", batch.tasks, MAX_TASKS)?,
+        })
+    }
+}
+
+impl From<StepDemand> for proto::StepDemand {
+    fn from(demand: StepDemand) -> Self {
+        proto::StepDemand {
+            step: demand.step,
+            room: Some(demand.room.into()),
+            expected_run_us: to_us(demand.expected_run),
+            required_label: demand.required_label.map(|label| label.to_string()),
+            data_rack: demand.data_rack.map(|rack| rack.to_string()),
+            most_per_upstream: demand.most_per_upstream,
+        }
+    }
+}
+
+impl TryFrom<proto::StepDemand> for StepDemand {
+    type Error = DecodeError;
+
+    fn try_from(demand: proto::StepDemand) -> Result<Self, DecodeError> {
+        Ok(StepDemand {
+            step: demand.step,
+            room: required("run_batch.demands.room", demand.room)?.into(),
+            expected_run: Duration::from_micros(demand.expected_run_us),
+            required_label: optional_name("run_batch.demands.label", demand.required_label)?,
+            data_rack: optional_name("run_batch.demands.data_rack", demand.data_rack)?,
+            most_per_upstream: demand.most_per_upstream,
+        })
+    }
+}
+
+impl From<PlacedTask> for proto::PlacedTask {
+    fn from(task: PlacedTask) -> Self {
+        proto::PlacedTask {
+            step: task.step,
+            index: task.index,
+            run: task.run,
+            avoid: task.avoid.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+impl TryFrom<proto::PlacedTask> for PlacedTask {
+    type Error = DecodeError;
+
+    fn try_from(task: proto::PlacedTask) -> Result<Self, DecodeError> {
+        let avoid = bounded("run_batch.tasks.avoid", task.avoid, MAX_TASKS)?;
+        let avoid = avoid.into_iter();
+        let avoid = avoid.map(|upstream| name("run_batch.tasks.avoid", upstream));
+        Ok(PlacedTask {
+            step: task.step,
+            index: task.index,
+            run: task.run,
+            avoid: avoid.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<RunId> for proto::RunId {
+    fn from(run: RunId) -> Self {
+        proto::RunId {
+            job: run.task.job.to_string(),
+            occurrence: run.task.occurrence,
+            step: run.task.step,
+            index: run.task.index,
+            run: run.run,
+        }
+    }
+}
+
+impl TryFrom<proto::RunId> for RunId {
+    type Error = DecodeError;
+
+    fn try_from(run: proto::RunId) -> Result<Self, DecodeError> {
+        Ok(RunId {
+            task: TaskName {
+                job: job("run.job", &run.job)?,
+                occurrence: run.occurrence,
+                step: run.step,
+                index: run.index,
+            },
+            run: run.run,
+        })
+    }
+}
+
+impl From<FoundEnd> for proto::FoundEnd {
+    fn from(end: FoundEnd) -> Self {
+        proto::FoundEnd {
+            run: Some(end.run.into()),
+            done: end.done,
+            failed: end.failed,
+        }
+    }
+}
+
+impl TryFrom<proto::FoundEnd> for FoundEnd {
+    type Error = DecodeError;
+
+    fn try_from(end: proto::FoundEnd) -> Result<Self, DecodeError> {
+        Ok(FoundEnd {
+            run: required("found.ended.run", end.run)?.try_into()?,
+            done: end.done,
+            failed: end.failed,
+        })
+    }
+}
+
+impl From<TaskEnd> for proto::RunEnd {
+    fn from(end: TaskEnd) -> Self {
+        let how = match end.end {
+            RunEnd::Done { work } => End::DoneWorkUs(to_us(work)),
+            RunEnd::Failed { upstream } => End::FailedOn(upstream.to_string()),
+            RunEnd::NotStarted(reason) => {
+                End::NotStarted(proto::NotStartedReason::from(reason) as i32)
+            }
+            RunEnd::Lost { upstream } => End::LostOn(upstream.to_string()),
+            RunEnd::TakenOver => End::TakenOver(proto::TakenOver {}),
+        };
+        proto::RunEnd {
+            run: Some(end.run.into()),
+            end: Some(how),
+        }
+    }
+}
+
+impl TryFrom<proto::RunEnd> for TaskEnd {
+    type Error = DecodeError;
+
+    fn try_from(end: proto::RunEnd) -> Result<Self, DecodeError> {
+        let how = match required("ends.end", end.end)? {
+            End::DoneWorkUs(work_us) => RunEnd::Done {
+                work: Duration::from_micros(work_us),
+            },
+            End::FailedOn(upstream) => RunEnd::Failed {
+                upstream: name("ends.failed_on", upstream)?,
+            },
+            End::NotStarted(number) => RunEnd::NotStarted(not_started(number)?),
+            End::LostOn(upstream) => RunEnd::Lost {
+                upstream: name("ends.lost_on", upstream)?,
+            },
+            End::TakenOver(proto::TakenOver {}) => RunEnd::TakenOver,
+        };
+        Ok(TaskEnd {
+            run: required("ends.run", end.run)?.try_into()?,
+            end: how,
+        })
+    }
+}
+
+impl From<NotStarted> for proto::NotStartedReason {
+    fn from(reason: NotStarted) -> Self {
+        match reason {
+            NotStarted::TooLate => proto::NotStartedReason::TooLate,
+            NotStarted::OldRun => proto::NotStartedReason::OldRun,
+            NotStarted::Refused => proto::NotStartedReason::Refused,
+            NotStarted::NoUpstream => proto::NotStartedReason::NoUpstream,
+            NotStarted::Stale => proto::NotStartedReason::Stale,
+            NotStarted::Leaving => proto::NotStartedReason::Leaving,
+            NotStarted::Invalid => proto::NotStartedReason::Invalid,
+        }
+    }
+}
+
+fn not_started(number: i32) -> Result<NotStarted, DecodeError> {
+    let unknown = DecodeError::UnknownValue {
+        field: "ends.not_started",
+        number,
+    };
+    match proto::NotStartedReason::try_from(number) {
+        Ok(proto::NotStartedReason::TooLate) => Ok(NotStarted::TooLate),
+        Ok(proto::NotStartedReason::OldRun) => Ok(NotStarted::OldRun),
+        Ok(proto::NotStartedReason::Refused) => Ok(NotStarted::Refused),
+        Ok(proto::NotStartedReason::NoUpstream) => Ok(NotStarted::NoUpstream),
+        Ok(proto::NotStartedReason::Stale) => Ok(NotStarted::Stale),
+        Ok(proto::NotStartedReason::Leaving) => Ok(NotStarted::Leaving),
+        Ok(proto::NotStartedReason::Invalid) => Ok(NotStarted::Invalid),
+        Ok(proto::NotStartedReason::Unspecified) | Err(_) => Err(unknown),
+    }
+}
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -15,6 +15,7 @@
 use crate::id::TaskId;
 use crate::outcome::AttemptEnd;
 use crate::outcome::JobAnswer;
+use crate::runs::run_message::TimedRunMessage;
 use crate::submission::Needs;
 use crate::submission::Submission;
 
@@ -81,6 +82,8 @@
         /// The text, as submitted.
         text: Bytes,
     },
+    /// A message about leased runs.
+    Run(TimedRunMessage),
 }
 
 /// What a caller asked of a job.
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
     /// The kinds of message.
-    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: ::core::option::Option<peer_message::Kind>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -55,6 +55,9 @@
         /// The document.
         #[prost(message, tag = "10")]
         DocumentBody(super::DocumentBody),
+        /// A message about leased runs.
+        #[prost(message, tag = "11")]
+        Run(super::TimedRunMessage),
     }
 }
 /// A caller's request for the home of its job.
@@ -410,6 +413,333 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub text: ::prost::bytes::Bytes,
 }
+/// A message about leased runs with its clock readings.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TimedRunMessage {
+    /// The sender's clock.
+    #[prost(uint64, tag = "1")]
+    pub sent_at_us: u64,
+    /// The receiver's clock as far as the sender can tell.
+    #[prost(uint64, optional, tag = "2")]
+    pub echo_us: ::core::option::Option<u64>,
+    /// The kinds of message.
+    #[prost(oneof = "timed_run_message::Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    pub kind: ::core::option::Option<timed_run_message::Kind>,
+}
+/// Nested message and enum types in `TimedRunMessage`.
+pub mod timed_run_message {
+    /// The kinds of message.
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Kind {
+        /// Run these tasks.
+        #[prost(message, tag = "3")]
+        Place(super::RunBatch),
+        /// Hold these runs.
+        #[prost(message, tag = "4")]
+        Adopt(super::AdoptRuns),
+        /// How tasks of a batch ended.
+        #[prost(message, tag = "5")]
+        Ends(super::RunEnds),
+        /// Stop what is left of some batches.
+        #[prost(message, tag = "6")]
+        Cancel(super::CancelRuns),
+        /// Runs that the sender did not start.
+        #[prost(message, tag = "7")]
+        Found(super::FoundRuns),
+        /// A heartbeat.
+        #[prost(message, tag = "8")]
+        Report(super::PeerReport),
+        /// Cancel a job at its home.
+        #[prost(message, tag = "9")]
+        CancelJob(super::CancelJob),
+        /// Ask for the intended state.
+        #[prost(message, tag = "10")]
+        IntendedRequest(super::IntendedRequest),
+        /// The intended state.
+        #[prost(message, tag = "11")]
+        IntendedBody(super::IntendedBody),
+    }
+}
+/// An amount of processor, memory and accelerators.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Resources {
+    /// Thousandths of a core.
+    #[prost(uint32, tag = "1")]
+    pub cpu_millicores: u32,
+    /// Megabytes.
+    #[prost(uint32, tag = "2")]
+    pub memory_mb: u32,
+    /// Whole accelerators.
+    #[prost(uint32, tag = "3")]
+    pub accelerators: u32,
+}
+/// Tasks of one job, handed to the owner of upstreams.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunBatch {
+    /// The home's number of the batch.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The job.
+    #[prost(string, tag = "2")]
+    pub job: ::prost::alloc::string::String,
+    /// The service.
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    /// The text that goes with each start.
+    #[prost(string, tag = "4")]
+    pub spec: ::prost::alloc::string::String,
+    /// The rank of the job's queue.
+    #[prost(uint32, tag = "5")]
+    pub priority: u32,
+    /// How long until the job is to end.
+    #[prost(sint64, tag = "6")]
+    pub objective_left_us: i64,
+    /// How long until its caller leaves.
+    #[prost(uint64, tag = "7")]
+    pub deadline_left_us: u64,
+    /// What the tasks need, by step.
+    #[prost(message, repeated, tag = "8")]
+    pub demands: ::prost::alloc::vec::Vec<StepDemand>,
+    /// The tasks.
+    #[prost(message, repeated, tag = "9")]
+    pub tasks: ::prost::alloc::vec::Vec<PlacedTask>,
+}
+/// What the tasks of one step need.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StepDemand {
+    /// The step.
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    /// The resources of one task.
+    #[prost(message, optional, tag = "2")]
+    pub room: ::core::option::Option<Resources>,
+    /// The expected run time of one task.
+    #[prost(uint64, tag = "3")]
+    pub expected_run_us: u64,
+    /// A label that the upstream must have.
+    #[prost(string, optional, tag = "4")]
+    pub required_label: ::core::option::Option<::prost::alloc::string::String>,
+    /// The rack where the data is.
+    #[prost(string, optional, tag = "5")]
+    pub data_rack: ::core::option::Option<::prost::alloc::string::String>,
+    /// The most tasks of the step on one upstream.
+    #[prost(uint32, optional, tag = "6")]
+    pub most_per_upstream: ::core::option::Option<u32>,
+}
+/// One task of a batch.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacedTask {
+    /// Its step.
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    /// Its place in the step.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// The number of the start.
+    #[prost(uint32, tag = "3")]
+    pub run: u32,
+    /// Upstreams that it failed on before.
+    #[prost(string, repeated, tag = "4")]
+    pub avoid: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// Runs that run already on an upstream that the receiver has taken over.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AdoptRuns {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// The tasks.
+    #[prost(message, optional, tag = "2")]
+    pub batch: ::core::option::Option<RunBatch>,
+}
+/// A run of a task.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunId {
+    /// The job.
+    #[prost(string, tag = "1")]
+    pub job: ::prost::alloc::string::String,
+    /// Which time of a recurring job.
+    #[prost(uint32, tag = "2")]
+    pub occurrence: u32,
+    /// The step.
+    #[prost(uint32, tag = "3")]
+    pub step: u32,
+    /// The place in the step.
+    #[prost(uint32, tag = "4")]
+    pub index: u32,
+    /// The number of the start.
+    #[prost(uint32, tag = "5")]
+    pub run: u32,
+}
+/// How tasks of a batch ended.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunEnds {
+    /// The batch.
+    #[prost(uint64, tag = "1")]
+    pub batch: u64,
+    /// The tasks that ended.
+    #[prost(message, repeated, tag = "2")]
+    pub ends: ::prost::alloc::vec::Vec<RunEnd>,
+    /// The sender's load.
+    #[prost(message, optional, tag = "3")]
+    pub digest: ::core::option::Option<RunDigest>,
+}
+/// How one run ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunEnd {
+    /// The run.
+    #[prost(message, optional, tag = "1")]
+    pub run: ::core::option::Option<RunId>,
+    /// The ways to end.
+    #[prost(oneof = "run_end::End", tags = "2, 3, 4, 5, 6")]
+    pub end: ::core::option::Option<run_end::End>,
+}
+/// Nested message and enum types in `RunEnd`.
+pub mod run_end {
+    /// The ways to end.
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum End {
+        /// Done: what it would have taken on an upstream of usual speed, in microseconds.
+        #[prost(uint64, tag = "2")]
+        DoneWorkUs(u64),
+        /// Failed on this upstream.
+        #[prost(string, tag = "3")]
+        FailedOn(::prost::alloc::string::String),
+        /// It did not start.
+        #[prost(enumeration = "super::NotStartedReason", tag = "4")]
+        NotStarted(i32),
+        /// It runs no more on this upstream.
+        #[prost(string, tag = "5")]
+        LostOn(::prost::alloc::string::String),
+        /// Another instance has taken over its upstream.
+        #[prost(message, tag = "6")]
+        TakenOver(super::TakenOver),
+    }
+}
+/// Another instance has taken over the upstream.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TakenOver {}
+/// Stop what is left of some batches.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CancelRuns {
+    /// The batches.
+    #[prost(uint64, repeated, tag = "1")]
+    pub batches: ::prost::alloc::vec::Vec<u64>,
+}
+/// Runs found on an upstream that the sender has taken over.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct FoundRuns {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Those that still run.
+    #[prost(message, repeated, tag = "2")]
+    pub running: ::prost::alloc::vec::Vec<RunId>,
+    /// Those that have ended.
+    #[prost(message, repeated, tag = "3")]
+    pub ended: ::prost::alloc::vec::Vec<FoundEnd>,
+}
+/// A run that had ended when its upstream was taken over.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FoundEnd {
+    /// The run.
+    #[prost(message, optional, tag = "1")]
+    pub run: ::core::option::Option<RunId>,
+    /// Whether it ended done.
+    #[prost(bool, tag = "2")]
+    pub done: bool,
+    /// Whether it ended failed.
+    #[prost(bool, tag = "3")]
+    pub failed: bool,
+}
+/// A heartbeat about leased runs.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PeerReport {
+    /// The sender's load.
+    #[prost(message, optional, tag = "1")]
+    pub digest: ::core::option::Option<RunDigest>,
+    /// The receiver's batches that the sender holds.
+    #[prost(uint64, repeated, tag = "2")]
+    pub held: ::prost::alloc::vec::Vec<u64>,
+    /// The highest number of a batch of the receiver that the sender has taken.
+    #[prost(uint64, tag = "3")]
+    pub highest_taken: u64,
+    /// The sender's batches that it believes to be held by the receiver.
+    #[prost(uint64, repeated, tag = "4")]
+    pub open: ::prost::alloc::vec::Vec<u64>,
+    /// The highest number of a batch that the sender has given.
+    #[prost(uint64, tag = "5")]
+    pub highest_sent: u64,
+}
+/// The load of one instance.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunDigest {
+    /// The load by service.
+    #[prost(message, repeated, tag = "1")]
+    pub services: ::prost::alloc::vec::Vec<RunLoad>,
+    /// The jobs that wait at their home, by queue.
+    #[prost(message, repeated, tag = "2")]
+    pub waiting: ::prost::alloc::vec::Vec<WaitingJobs>,
+    /// The version of the intended state that it holds, zero when none.
+    #[prost(uint64, tag = "3")]
+    pub intended_version: u64,
+    /// Whether it is stopping.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+}
+/// What an instance can run of one service.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunLoad {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// What is free on each upstream that takes tasks.
+    #[prost(message, repeated, tag = "2")]
+    pub free: ::prost::alloc::vec::Vec<Resources>,
+    /// What all upstreams in reach have.
+    #[prost(message, optional, tag = "3")]
+    pub total: ::core::option::Option<Resources>,
+    /// The work that waits, in milliseconds of one core.
+    #[prost(uint64, tag = "4")]
+    pub queued_core_ms: u64,
+    /// The tasks that wait.
+    #[prost(uint32, tag = "5")]
+    pub queued_tasks: u32,
+}
+/// Jobs of one queue that wait.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WaitingJobs {
+    /// The queue.
+    #[prost(string, tag = "1")]
+    pub queue: ::prost::alloc::string::String,
+    /// How many.
+    #[prost(uint64, tag = "2")]
+    pub jobs: u64,
+}
+/// Cancel a job at its home.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CancelJob {
+    /// The job.
+    #[prost(string, tag = "1")]
+    pub job: ::prost::alloc::string::String,
+}
+/// Ask for the intended state.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct IntendedRequest {
+    /// The version that the sender holds, zero when none.
+    #[prost(uint64, tag = "1")]
+    pub have_version: u64,
+}
+/// The intended state as it is stored.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct IntendedBody {
+    /// The version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The stored bytes.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: ::prost::bytes::Bytes,
+}
 /// Why nothing of a job ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -602,3 +932,48 @@
         }
     }
 }
+/// Why a run did not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum NotStartedReason {
+    Unspecified = 0,
+    TooLate = 1,
+    OldRun = 2,
+    Refused = 3,
+    NoUpstream = 4,
+    Stale = 5,
+    Leaving = 6,
+    Invalid = 7,
+}
+impl NotStartedReason {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "NOT_STARTED_REASON_UNSPECIFIED",
+            Self::TooLate => "NOT_STARTED_REASON_TOO_LATE",
+            Self::OldRun => "NOT_STARTED_REASON_OLD_RUN",
+            Self::Refused => "NOT_STARTED_REASON_REFUSED",
+            Self::NoUpstream => "NOT_STARTED_REASON_NO_UPSTREAM",
+            Self::Stale => "NOT_STARTED_REASON_STALE",
+            Self::Leaving => "NOT_STARTED_REASON_LEAVING",
+            Self::Invalid => "NOT_STARTED_REASON_INVALID",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "NOT_STARTED_REASON_UNSPECIFIED" => Some(Self::Unspecified),
+            "NOT_STARTED_REASON_TOO_LATE" => Some(Self::TooLate),
+            "NOT_STARTED_REASON_OLD_RUN" => Some(Self::OldRun),
+            "NOT_STARTED_REASON_REFUSED" => Some(Self::Refused),
+            "NOT_STARTED_REASON_NO_UPSTREAM" => Some(Self::NoUpstream),
+            "NOT_STARTED_REASON_STALE" => Some(Self::Stale),
+            "NOT_STARTED_REASON_LEAVING" => Some(Self::Leaving),
+            "NOT_STARTED_REASON_INVALID" => Some(Self::Invalid),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/runs.rs
@@ -0,0 +1,36 @@
+//! Jobs whose tasks upstreams run under leases: each run is started, held and stopped by order.
+//!
+//! The home of a job answers its caller and places its tasks; the owner of an upstream, one
+//! instance at a time, gives the orders and takes in the ends. [`run_dispatcher::RunDispatcher`]
+//! is both.
+
+mod admitting;
+mod assignment;
+pub mod event;
+mod held_batch;
+mod held_queue;
+mod home;
+mod home_job;
+pub mod intended_state;
+pub mod job_spec;
+mod leased_run;
+mod leased_upstream;
+pub mod listed_upstream;
+mod owner;
+mod owner_answers;
+mod peer_table;
+pub mod resources;
+pub mod roster;
+mod roster_watch;
+pub mod run_action;
+pub mod run_answer;
+pub mod run_digest;
+pub mod run_dispatcher;
+pub mod run_id;
+pub mod run_message;
+pub mod run_order;
+pub mod run_settings;
+mod spread;
+pub mod upstream_choice;
+pub mod upstream_clock;
+mod upstream_listing;
--- /dev/null
+++ b/lib/src/runs/admitting.rs
@@ -0,0 +1,110 @@
+//! Whether a job is taken in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::home::NewJob;
+use super::home::RETRY_AFTER_OVERLOAD;
+use super::home::longest_chain;
+use super::intended_state::IntendedState;
+use super::intended_state::Target;
+use super::job_spec::JobSpec;
+use super::run_answer::NotRun;
+use super::run_answer::RunAnswer;
+use super::run_dispatcher::RunDispatcher;
+use super::run_dispatcher::not_run;
+use super::spread::OwnerView;
+use super::spread::choose_owner;
+use crate::id::RequestId;
+
+/// The share of its expected chain that a job needs at the least.
+const LEAST_CHAIN: f64 = 0.6;
+
+/// The shortest advice to come back later.
+const MIN_RETRY_AFTER: Duration = RETRY_AFTER_OVERLOAD;
+
+impl RunDispatcher {
+    /// Takes a job in, or gives the answer that refuses it.
+    pub(crate) fn submit(
+        &mut self,
+        request: RequestId,
+        _intended: &IntendedState,
+        target: &Target<'_>,
+        spec: Arc<JobSpec>,
+        wait: Option<Duration>,
+    ) -> Option<RunAnswer> {
+        let Some(id) = target.job() else {
+            return Some(RunAnswer::NoSuchQueue);
+        };
+        if let Err(fault) = spec.check() {
+            return Some(not_run(NotRun::Spec(fault), None));
+        }
+        if self.home.join(request, id) {
+            return None;
+        }
+        if self.home.jobs.len() >= self.settings.limits.open_jobs {
+            return Some(not_run(NotRun::TooManyJobs, Some(MIN_RETRY_AFTER)));
+        }
+        let queue = target.queue;
+        if let Some(refusal) = self.never_servable(&queue.service, &spec) {
+            return Some(refusal);
+        }
+        let limits = self.settings.limits;
+        let wait = wait.unwrap_or(limits.default_timeout);
+        let wait = queue.timeout.map_or(wait, |timeout| timeout.min(wait));
+        let expected = self.home.expected_runs(&queue.name, &spec);
+        let mut views = self.views(&queue.service);
+        if let Err(refusal) = check_load(&mut views, &spec, &expected, wait) {
+            return Some(refusal);
+        }
+        let new = NewJob {
+            id,
+            queue: queue.clone(),
+            spec,
+            wait,
+        };
+        self.home.open(self.now, request, new, expected);
+        None
+    }
+
+    /// The refusal of a job that no listed upstream could ever run.
+    fn never_servable(&self, service: &str, spec: &JobSpec) -> Option<RunAnswer> {
+        if !self.listing.has_service(service) {
+            return None;
+        }
+        let is_impossible = spec.steps.iter().any(|step| {
+            let label = step.required_label.as_deref();
+            !self.listing.could_run(service, step.room, label)
+        });
+        is_impossible.then(|| not_run(NotRun::NeedsNoUpstreamHas, None))
+    }
+}
+
+/// Refuses a job that would end after its caller has left, by the load as it is known.
+fn check_load(
+    views: &mut [OwnerView],
+    spec: &JobSpec,
+    expected: &[Duration],
+    wait: Duration,
+) -> Result<(), RunAnswer> {
+    if views.is_empty() {
+        return Err(not_run(NotRun::NoUpstreamInReach, Some(MIN_RETRY_AFTER)));
+    }
+    let mut longest_wait = Duration::ZERO;
+    for (step, run) in spec.steps.iter().zip(expected) {
+        if !step.after.is_empty() {
+            continue;
+        }
+        for _ in 0..step.tasks {
+            if let Some(choice) = choose_owner(views, step.room, *run) {
+                longest_wait = longest_wait.max(choice.wait);
+            }
+        }
+    }
+    let chain = longest_chain(spec, expected);
+    if longest_wait + chain.mul_f64(LEAST_CHAIN) > wait {
+        let retry_after = longest_wait.max(MIN_RETRY_AFTER);
+        return Err(not_run(NotRun::Overloaded, Some(retry_after)));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/lib/src/runs/held_batch.rs
@@ -0,0 +1,135 @@
+//! Tasks that an owner holds for a home.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::run_id::JobId;
+use super::run_id::LeasedUpstreamKey;
+use super::run_id::RunId;
+use super::run_id::TaskName;
+use super::run_message::PlacedTask;
+use super::run_message::RunBatch;
+use super::run_message::StepDemand;
+use super::run_message::TaskEnd;
+use crate::id::Incarnation;
+use crate::time::Timestamp;
+
+/// The place of a task in its batch.
+pub(crate) type TaskIndex = usize;
+
+/// Tasks of one job that an owner holds for its home.
+#[derive(Debug)]
+pub(crate) struct HeldBatch {
+    pub(crate) home: Incarnation,
+    pub(crate) number: u64,
+    pub(crate) job: JobId,
+    pub(crate) service: Arc<str>,
+    pub(crate) spec: Arc<str>,
+    pub(crate) priority: u32,
+    pub(crate) objective_at_us: i64,
+    pub(crate) deadline: Timestamp,
+    pub(crate) taken_at: Timestamp,
+    pub(crate) demands: Vec<StepDemand>,
+    pub(crate) tasks: Vec<HeldTask>,
+    pub(crate) open_tasks: usize,
+    pub(crate) unreported: Vec<TaskEnd>,
+}
+
+/// One task of a batch.
+#[derive(Debug)]
+pub(crate) struct HeldTask {
+    pub(crate) placed: PlacedTask,
+    /// Its place in the batch's demands.
+    pub(crate) demand: usize,
+    pub(crate) state: HeldState,
+}
+
+/// Where a held task is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeldState {
+    /// It waits for room.
+    Queued,
+    /// It is ordered or runs.
+    Running(LeasedUpstreamKey),
+    /// It has ended.
+    Ended,
+}
+
+impl HeldBatch {
+    /// The batch of a message; none when a task names a step without a demand.
+    pub(crate) fn new(home: Incarnation, batch: RunBatch, now: Timestamp) -> Option<Self> {
+        let mut tasks = Vec::with_capacity(batch.tasks.len());
+        for placed in batch.tasks {
+            let of_step = |demand: &StepDemand| demand.step == placed.step;
+            let demand = batch.demands.iter().position(of_step)?;
+            tasks.push(HeldTask {
+                placed,
+                demand,
+                state: HeldState::Queued,
+            });
+        }
+        let now_us = i64::try_from(now.as_us()).unwrap_or(i64::MAX);
+        Some(HeldBatch {
+            home,
+            number: batch.number,
+            job: batch.job,
+            service: batch.service,
+            spec: batch.spec,
+            priority: batch.priority,
+            objective_at_us: now_us.saturating_add(batch.objective_left_us),
+            deadline: now + batch.deadline_left,
+            taken_at: now,
+            demands: batch.demands,
+            open_tasks: tasks.len(),
+            tasks,
+            unreported: Vec::new(),
+        })
+    }
+
+    /// The run of a task.
+    pub(crate) fn run(&self, task: TaskIndex) -> RunId {
+        run_of(self.job, &self.tasks[task].placed)
+    }
+
+    /// What a task needs.
+    pub(crate) fn demand(&self, task: TaskIndex) -> &StepDemand {
+        &self.demands[self.tasks[task].demand]
+    }
+
+    /// The latest time at which a task may start and still end before its caller leaves.
+    pub(crate) fn start_by(&self, task: TaskIndex) -> Timestamp {
+        let left = self.deadline.since(Timestamp::ZERO);
+        let expected = self.demand(task).expected_run;
+        Timestamp::ZERO + left.saturating_sub(expected.mul_f64(FASTEST_RUN))
+    }
+
+    /// The expected work of a task in milliseconds of one core.
+    pub(crate) fn core_ms(&self, task: TaskIndex) -> u64 {
+        let demand = self.demand(task);
+        core_ms(demand.room.cpu_millicores, demand.expected_run)
+    }
+}
+
+/// The share of its expected run time that a task may take on a fast upstream.
+///
+/// Upstreams run up to a quarter faster than the usual one, and figures are rough.
+const FASTEST_RUN: f64 = 0.6;
+
+/// The work of a task in milliseconds of one core.
+pub(crate) fn core_ms(cpu_millicores: u32, run: Duration) -> u64 {
+    let run_ms = u64::try_from(run.as_millis()).unwrap_or(u64::MAX);
+    u64::from(cpu_millicores).saturating_mul(run_ms) / 1_000
+}
+
+/// The run of a placed task.
+pub(crate) fn run_of(job: JobId, placed: &PlacedTask) -> RunId {
+    RunId {
+        task: TaskName {
+            job,
+            occurrence: 0,
+            step: placed.step,
+            index: placed.index,
+        },
+        run: placed.run,
+    }
+}
--- /dev/null
+++ b/lib/src/runs/held_queue.rs
@@ -0,0 +1,56 @@
+//! The order in which held tasks start.
+
+use almondhead_macros::key;
+
+use crate::time::Timestamp;
+
+/// What the order may go by.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QueuedView {
+    /// When the job is to end, in microseconds on this instance's clock.
+    pub(crate) objective_at_us: i64,
+    /// The expected run time of the task, in microseconds.
+    pub(crate) expected_run_us: i64,
+    /// When the task came.
+    pub(crate) taken_at: Timestamp,
+    /// The rank of the queue, zero first.
+    pub(crate) priority: u32,
+}
+
+/// A place in the order; the least starts first.
+#[key]
+pub(crate) struct QueueRank {
+    class: u8,
+    by_us: i64,
+    priority: u32,
+}
+
+/// An order of tasks that wait.
+pub(crate) trait HeldOrder: std::fmt::Debug + Send {
+    /// The place of a task now.
+    fn rank(&self, now: Timestamp, task: &QueuedView) -> QueueRank;
+}
+
+/// Tasks that can still meet their objective go first, the one with the least slack at the head;
+/// those that cannot follow in the order of their coming.
+#[derive(Debug, Default)]
+pub(crate) struct LeastSlack;
+
+impl HeldOrder for LeastSlack {
+    fn rank(&self, now: Timestamp, task: &QueuedView) -> QueueRank {
+        let now_us = i64::try_from(now.as_us()).unwrap_or(i64::MAX);
+        let start_by_us = task.objective_at_us.saturating_sub(task.expected_run_us);
+        if start_by_us >= now_us {
+            return QueueRank {
+                class: 0,
+                by_us: start_by_us,
+                priority: task.priority,
+            };
+        }
+        QueueRank {
+            class: 1,
+            by_us: i64::try_from(task.taken_at.as_us()).unwrap_or(i64::MAX),
+            priority: task.priority,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/runs/home.rs
@@ -0,0 +1,744 @@
+//! The home of jobs: takes them in, follows their tasks and answers their callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use slotmap::SlotMap;
+
+use super::home_job::HomeJob;
+use super::home_job::HomeState;
+use super::home_job::HomeTask;
+use super::home_job::Unfinished;
+use super::intended_state::JobQueueSettings;
+use super::job_spec::JobSpec;
+use super::run_answer::GivenUp;
+use super::run_answer::JobEnd;
+use super::run_answer::JobProgress;
+use super::run_answer::NotRun;
+use super::run_answer::RunAnswer;
+use super::run_digest::WaitingJobs;
+use super::run_id::HomeJobKey;
+use super::run_id::JobId;
+use super::run_id::RunId;
+use super::run_message::FoundEnd;
+use super::run_message::NotStarted;
+use super::run_message::RunBatch;
+use super::run_message::RunEnd;
+use super::run_message::TaskEnd;
+use super::spread::OwnerRef;
+use crate::id::RequestId;
+use crate::run_estimate::RunEstimate;
+use crate::time::Timestamp;
+use crate::timer::TimerService;
+
+/// How long before its caller leaves a job is given up, for the way of the answer.
+const ANSWER_TIME: Duration = Duration::from_millis(5);
+
+/// How long the ends of a job's other tasks may stay out once it is known to end unfinished.
+///
+/// They are due at the same time; a message takes a few milliseconds.
+const ENDING_TIME: Duration = Duration::from_millis(30);
+
+/// How long a task adrift waits for the next owner of its upstream to ask for it.
+pub(crate) const ADRIFT_TIME: Duration = Duration::from_millis(700);
+
+/// How long after its owner was last heard a run has surely ended.
+///
+/// An owner that lost its home stops the run or, cut off from the upstream too, renews its lease
+/// for the last time after 600 ms; the lease lasts a second on a clock that may be slow.
+pub(crate) const SURELY_ENDED: Duration = Duration::from_millis(1_800);
+
+/// The most placements of one task on average, against endless refusals.
+const MAX_PLACEMENTS_PER_TASK: u32 = 16;
+
+/// How long the answer of an ended job is kept for a caller that asks again.
+///
+/// Callers whose connection broke come back after 1.3 s.
+const KEEP_ANSWER: Duration = Duration::from_secs(5);
+
+/// How long a batch may be on its way before it counts as lost; owners refuse it by then.
+const BATCH_ON_ITS_WAY: Duration = Duration::from_millis(400);
+
+/// What a home's parts subscribe to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum HomeTimer {
+    /// The caller of the job leaves.
+    Deadline(HomeJobKey),
+    /// The ends of the job's other tasks are overdue.
+    Ending(HomeJobKey),
+    /// A task adrift has not been asked for.
+    Adrift(HomeJobKey),
+    /// The answer of an ended job is kept no longer.
+    Forget(JobId),
+}
+
+/// A batch that an owner holds.
+#[derive(Debug)]
+pub(crate) struct OpenBatch {
+    pub(crate) job: HomeJobKey,
+    pub(crate) sent_at: Timestamp,
+}
+
+/// What a home wants done.
+#[derive(Debug)]
+pub(crate) enum HomeOutput {
+    Answer {
+        request: RequestId,
+        answer: RunAnswer,
+    },
+    Place {
+        owner: OwnerRef,
+        batch: RunBatch,
+    },
+    Adopt {
+        owner: OwnerRef,
+        upstream: Arc<str>,
+        batch: RunBatch,
+    },
+    Cancel {
+        owner: OwnerRef,
+        batches: Vec<u64>,
+    },
+}
+
+/// The jobs whose home is this instance.
+#[derive(Debug, Default)]
+pub(crate) struct Home {
+    pub(crate) jobs: SlotMap<HomeJobKey, HomeJob>,
+    by_id: IndexMap<JobId, HomeJobKey>,
+    ended: IndexMap<JobId, JobEnd>,
+    requests: IndexMap<RequestId, HomeJobKey>,
+    pub(crate) batches: IndexMap<(OwnerRef, u64), OpenBatch>,
+    next_batch: u64,
+    estimates: IndexMap<Arc<str>, RunEstimate>,
+    pub(crate) timers: TimerService<HomeTimer>,
+    pub(crate) outputs: Vec<HomeOutput>,
+    is_dirty: bool,
+}
+
+/// A job that passed every check.
+pub(crate) struct NewJob {
+    pub(crate) id: JobId,
+    pub(crate) queue: Arc<JobQueueSettings>,
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) wait: Duration,
+}
+
+impl Home {
+    /// Joins a request to a job that is open here or has just ended.
+    pub(crate) fn join(&mut self, request: RequestId, id: JobId) -> bool {
+        if let Some(end) = self.ended.get(&id).copied() {
+            self.answer(request, RunAnswer::Ended(end));
+            return true;
+        }
+        let Some(key) = self.by_id.get(&id).copied() else {
+            return false;
+        };
+        tracing::info!(job = %id, request = request.0, "request joined an open job");
+        self.jobs[key].waiters.push(request);
+        self.requests.insert(request, key);
+        true
+    }
+
+    /// The expected run times of a job's tasks, by step.
+    pub(crate) fn expected_runs(&self, queue: &str, spec: &JobSpec) -> Vec<Duration> {
+        let estimate = self.estimates.get(queue);
+        let expected = spec.steps.iter().map(|step| {
+            let declared = Some(step.declared_run).filter(|run| !run.is_zero());
+            match estimate {
+                Some(estimate) => estimate.reading(declared).mean,
+                None => RunEstimate::default().reading(declared).mean,
+            }
+        });
+        expected.collect()
+    }
+
+    /// Takes a job in.
+    pub(crate) fn open(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        new: NewJob,
+        expected_runs: Vec<Duration>,
+    ) {
+        let NewJob {
+            id,
+            queue,
+            spec,
+            wait,
+        } = new;
+        let chain = longest_chain(&spec, &expected_runs);
+        let objective = chain * queue.stretch_percent.max(100) / 100 + queue.target_duration;
+        let tasks = (0..).zip(&spec.steps).flat_map(|(step, of)| {
+            (0..of.tasks).map(move |index| HomeTask {
+                step,
+                index,
+                run: 1,
+                failures: 0,
+                avoid: Vec::new(),
+                state: HomeState::Blocked,
+            })
+        });
+        let tasks: Vec<HomeTask> = tasks.collect();
+        let mut job = HomeJob {
+            id,
+            waiters: vec![request],
+            accepted_at: now,
+            objective_at: now + objective,
+            deadline: now + wait.saturating_sub(ANSWER_TIME),
+            expected_runs,
+            open_by_step: spec.steps.iter().map(|step| step.tasks).collect(),
+            open_tasks: tasks.len(),
+            tasks,
+            may_have_run: false,
+            ending: None,
+            placements: 0,
+            queue,
+            spec,
+        };
+        job.unblock();
+        let deadline = job.deadline;
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.requests.insert(request, key);
+        self.timers.subscribe(deadline, HomeTimer::Deadline(key));
+        self.is_dirty = true;
+    }
+
+    /// Whether tasks wait for owners and something changed.
+    pub(crate) fn take_dirty(&mut self) -> bool {
+        std::mem::take(&mut self.is_dirty)
+    }
+
+    /// Marks waiting tasks for another look.
+    pub(crate) fn mark_dirty(&mut self) {
+        self.is_dirty = true;
+    }
+
+    /// A number for a batch.
+    pub(crate) fn next_batch(&mut self) -> u64 {
+        self.next_batch += 1;
+        self.next_batch
+    }
+
+    /// The highest number that a batch has got.
+    pub(crate) fn highest_batch(&self) -> u64 {
+        self.next_batch
+    }
+
+    /// Takes in how tasks ended at an owner.
+    pub(crate) fn take_ends(&mut self, now: Timestamp, owner: OwnerRef, ends: Vec<TaskEnd>) {
+        for TaskEnd { run, end } in ends {
+            let Some(key) = self.by_id.get(&run.task.job).copied() else {
+                continue;
+            };
+            let Some(task) = self.jobs[key].task_of(run) else {
+                continue;
+            };
+            let is_there = match self.jobs[key].tasks[task].state {
+                HomeState::Placed { owner: at, .. } => at == owner,
+                HomeState::Adrift { .. } => !matches!(end, RunEnd::TakenOver),
+                _ => false,
+            };
+            if is_there {
+                self.end_task(now, key, task, end);
+            }
+        }
+    }
+
+    fn end_task(&mut self, now: Timestamp, key: HomeJobKey, task: usize, end: RunEnd) {
+        let job = &mut self.jobs[key];
+        let run = job.run(task);
+        match &end {
+            RunEnd::Done { .. } => tracing::debug!(job = %job.id, run = %run, "task done"),
+            other => tracing::warn!(job = %job.id, run = %run, end = ?other, "task not done"),
+        }
+        if !matches!(end, RunEnd::NotStarted(_)) {
+            job.may_have_run = true;
+        }
+        match end {
+            RunEnd::Done { work } => self.task_done(now, key, task, work),
+            RunEnd::Failed { upstream } => self.task_failed(now, key, task, upstream),
+            RunEnd::NotStarted(reason) => self.task_not_started(now, key, task, reason),
+            RunEnd::Lost { upstream } => {
+                job.tasks[task].avoid.push(upstream);
+                self.start_over(now, key, task);
+            }
+            RunEnd::TakenOver => self.set_adrift(now, key, task, now),
+        }
+        self.close_empty_batches(key);
+    }
+
+    fn task_done(&mut self, now: Timestamp, key: HomeJobKey, task: usize, work: Duration) {
+        let job = &mut self.jobs[key];
+        job.tasks[task].state = HomeState::Done;
+        let step = job.tasks[task].step as usize;
+        job.open_by_step[step] -= 1;
+        job.open_tasks -= 1;
+        let declared = job.spec.steps[step].declared_run;
+        let estimate = self.estimates.entry(job.queue.name.clone()).or_default();
+        estimate.record_declared(declared, work);
+        if job.open_tasks == 0 {
+            return self.end_job(now, key, JobEnd::Completed);
+        }
+        if job.open_by_step[step] == 0 {
+            job.unblock();
+            self.is_dirty = true;
+        }
+    }
+
+    fn task_failed(&mut self, now: Timestamp, key: HomeJobKey, task: usize, upstream: Arc<str>) {
+        let job = &mut self.jobs[key];
+        let most = job.queue.max_attempts.max(1);
+        let state = &mut job.tasks[task];
+        state.failures += 1;
+        state.avoid.push(upstream);
+        if state.failures >= most {
+            return self.end_job(now, key, JobEnd::Failed);
+        }
+        self.start_over(now, key, task);
+    }
+
+    fn task_not_started(
+        &mut self,
+        now: Timestamp,
+        key: HomeJobKey,
+        task: usize,
+        reason: NotStarted,
+    ) {
+        let job = &mut self.jobs[key];
+        job.tasks[task].state = HomeState::Waiting;
+        match reason {
+            NotStarted::TooLate => return self.begin_ending(now, key, NotRun::WaitedTooLong),
+            NotStarted::OldRun => job.tasks[task].run += 1,
+            NotStarted::Invalid => return self.end_job(now, key, JobEnd::Failed),
+            _ => {}
+        }
+        if job.placements > MAX_PLACEMENTS_PER_TASK * job.task_count() {
+            return self.begin_ending(now, key, NotRun::NoUpstreamInReach);
+        }
+        self.is_dirty = true;
+    }
+
+    /// Lets a task that runs no more start once more, while there is time.
+    fn start_over(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
+        let job = &mut self.jobs[key];
+        let state = &mut job.tasks[task];
+        state.run += 1;
+        state.state = HomeState::Waiting;
+        self.is_dirty = true;
+        let job = &self.jobs[key];
+        if now + job.least_run(task) > job.deadline {
+            self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
+        }
+    }
+
+    fn set_adrift(&mut self, now: Timestamp, key: HomeJobKey, task: usize, since: Timestamp) {
+        let job = &mut self.jobs[key];
+        job.tasks[task].state = HomeState::Adrift { since };
+        let due = (now + ADRIFT_TIME).max(since + ADRIFT_TIME);
+        self.timers.subscribe(due, HomeTimer::Adrift(key));
+    }
+
+    /// Decides about tasks adrift that nobody asked for.
+    fn adrift_overdue(&mut self, now: Timestamp, key: HomeJobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let tasks = (0..).zip(&job.tasks);
+        let adrift: Vec<(usize, Timestamp)> = tasks
+            .filter_map(|(task, state)| match state.state {
+                HomeState::Adrift { since } => Some((task, since)),
+                _ => None,
+            })
+            .collect();
+        for (task, since) in adrift {
+            let Some(job) = self.jobs.get(key) else {
+                return;
+            };
+            let ended_at = since + SURELY_ENDED;
+            if ended_at <= now {
+                self.start_over(now, key, task);
+            } else if ended_at + job.least_run(task) > job.deadline {
+                self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::OwnerLost));
+            } else {
+                self.timers.subscribe(ended_at, HomeTimer::Adrift(key));
+            }
+        }
+    }
+
+    /// Takes in that an owner is out of reach or another run of its process.
+    pub(crate) fn lose_owner(&mut self, now: Timestamp, owner: OwnerRef, last_heard: Timestamp) {
+        let keys: Vec<HomeJobKey> = self.jobs.keys().collect();
+        for key in keys {
+            let job = &self.jobs[key];
+            let tasks = (0..job.tasks.len()).filter(|task| {
+                matches!(job.tasks[*task].state, HomeState::Placed { owner: at, .. } if at == owner)
+            });
+            let tasks: Vec<usize> = tasks.collect();
+            if tasks.is_empty() {
+                continue;
+            }
+            tracing::warn!(job = %job.id, ?owner, tasks = tasks.len(), "owner out of reach");
+            self.jobs[key].may_have_run = true;
+            for task in tasks {
+                self.set_adrift(now, key, task, last_heard);
+            }
+        }
+        self.batches.retain(|(at, _), _| *at != owner);
+    }
+
+    /// Takes in runs that the next owner of an upstream found there.
+    pub(crate) fn claim_found(
+        &mut self,
+        now: Timestamp,
+        owner: OwnerRef,
+        upstream: &Arc<str>,
+        running: &[RunId],
+        ended: &[FoundEnd],
+    ) {
+        for found in ended {
+            let end = match found {
+                FoundEnd { done: true, .. } => RunEnd::Done {
+                    work: Duration::ZERO,
+                },
+                FoundEnd { failed: true, .. } => RunEnd::Failed {
+                    upstream: upstream.clone(),
+                },
+                _ => RunEnd::Lost {
+                    upstream: upstream.clone(),
+                },
+            };
+            if let Some((key, task)) = self.claimable(owner, found.run) {
+                self.end_task(now, key, task, end);
+            }
+        }
+        for run in running {
+            if let Some((key, task)) = self.claimable(owner, *run) {
+                self.move_task(now, key, task, owner, upstream);
+            }
+        }
+    }
+
+    /// The task of a run that another owner than `owner` had.
+    fn claimable(&self, owner: OwnerRef, run: RunId) -> Option<(HomeJobKey, usize)> {
+        let key = *self.by_id.get(&run.task.job)?;
+        let task = self.jobs[key].task_of(run)?;
+        match self.jobs[key].tasks[task].state {
+            HomeState::Placed { owner: at, .. } if at != owner => Some((key, task)),
+            HomeState::Adrift { .. } => Some((key, task)),
+            _ => None,
+        }
+    }
+
+    fn move_task(
+        &mut self,
+        now: Timestamp,
+        key: HomeJobKey,
+        task: usize,
+        owner: OwnerRef,
+        upstream: &Arc<str>,
+    ) {
+        let run = self.jobs[key].run(task);
+        tracing::info!(job = %run.task.job, run = %run, upstream = %upstream, ?owner, "run claimed");
+        let batch = self.batch_of(now, key, owner, &[task]);
+        self.close_empty_batches(key);
+        self.outputs.push(HomeOutput::Adopt {
+            owner,
+            upstream: upstream.clone(),
+            batch,
+        });
+    }
+
+    /// Takes in which batches an owner holds; those that it does not hold have ended unheard.
+    pub(crate) fn compare_held(
+        &mut self,
+        now: Timestamp,
+        owner: OwnerRef,
+        held: &[u64],
+        highest_taken: u64,
+    ) {
+        let missing = self.batches.iter().filter(|((at, number), batch)| {
+            let was_taken = *number <= highest_taken;
+            let was_lost = now.since(batch.sent_at) >= BATCH_ON_ITS_WAY;
+            *at == owner && !held.contains(number) && (was_taken || was_lost)
+        });
+        let missing: Vec<((OwnerRef, u64), HomeJobKey)> =
+            missing.map(|(name, batch)| (*name, batch.job)).collect();
+        for ((owner, number), key) in missing {
+            self.batches.swap_remove(&(owner, number));
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
+            tracing::warn!(job = %job.id, batch = number, ?owner, "batch not held by its owner");
+            let placed = HomeState::Placed {
+                owner,
+                batch: number,
+            };
+            let tasks = (0..job.tasks.len()).filter(|task| job.tasks[*task].state == placed);
+            for task in tasks.collect::<Vec<_>>() {
+                if self.jobs.contains_key(key) {
+                    self.jobs[key].may_have_run = true;
+                    self.start_over(now, key, task);
+                }
+            }
+        }
+    }
+
+    /// Takes back a batch that was never sent.
+    pub(crate) fn take_unsent(&mut self, now: Timestamp, owner: OwnerRef, number: u64) {
+        let Some(batch) = self.batches.swap_remove(&(owner, number)) else {
+            return;
+        };
+        let placed = HomeState::Placed {
+            owner,
+            batch: number,
+        };
+        let Some(job) = self.jobs.get_mut(batch.job) else {
+            return;
+        };
+        tracing::warn!(job = %job.id, batch = number, ?owner, "batch not sent");
+        for task in &mut job.tasks {
+            if task.state == placed {
+                task.state = HomeState::Waiting;
+            }
+        }
+        if job.placements > MAX_PLACEMENTS_PER_TASK * job.task_count() {
+            return self.begin_ending(now, batch.job, NotRun::NoUpstreamInReach);
+        }
+        self.is_dirty = true;
+    }
+
+    fn close_empty_batches(&mut self, key: HomeJobKey) {
+        let job = self.jobs.get(key);
+        self.batches.retain(|(owner, number), batch| {
+            batch.job != key
+                || job.is_some_and(|job| {
+                    let placed = HomeState::Placed {
+                        owner: *owner,
+                        batch: *number,
+                    };
+                    job.tasks.iter().any(|task| task.state == placed)
+                })
+        });
+    }
+
+    /// The message that hands tasks to an owner; they count as placed from now on.
+    pub(crate) fn batch_of(
+        &mut self,
+        now: Timestamp,
+        key: HomeJobKey,
+        owner: OwnerRef,
+        tasks: &[usize],
+    ) -> RunBatch {
+        let number = self.next_batch();
+        self.batches.insert((owner, number), OpenBatch { job: key, sent_at: now });
+        let job = &mut self.jobs[key];
+        job.placements += u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        for task in tasks {
+            job.tasks[*task].state = HomeState::Placed {
+                owner,
+                batch: number,
+            };
+        }
+        job.to_batch(now, number, tasks)
+    }
+
+    /// Begins to end a job of which nothing may have run yet; other tasks' ends are awaited shortly.
+    fn begin_ending(&mut self, now: Timestamp, key: HomeJobKey, reason: NotRun) {
+        let job = &mut self.jobs[key];
+        if job.may_have_run {
+            return self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
+        }
+        job.ending = Some(reason);
+        if !job.is_placed() {
+            return self.end_unfinished(now, key, Unfinished::NotRun(reason));
+        }
+        self.timers
+            .subscribe(now + ENDING_TIME, HomeTimer::Ending(key));
+    }
+
+    /// Ends a job that has run to its end, well or not.
+    fn end_job(&mut self, now: Timestamp, key: HomeJobKey, end: JobEnd) {
+        let Some(job) = self.remove(key) else {
+            return;
+        };
+        log_end(now, &job, &end.to_string());
+        self.ended.insert(job.id, end);
+        self.timers
+            .subscribe(now + KEEP_ANSWER, HomeTimer::Forget(job.id));
+        for request in job.waiters {
+            self.answer(request, RunAnswer::Ended(end));
+        }
+    }
+
+    /// Gives a job up, and tells its callers at once.
+    pub(crate) fn end_unfinished(&mut self, now: Timestamp, key: HomeJobKey, why: Unfinished) {
+        let Some(job) = self.remove(key) else {
+            return;
+        };
+        let answer = match why {
+            Unfinished::NotRun(reason) => {
+                log_end(now, &job, &format!("not_run {reason}"));
+                RunAnswer::NotRun {
+                    reason,
+                    retry_after: Some(RETRY_AFTER_OVERLOAD),
+                }
+            }
+            Unfinished::GivenUp(reason) => {
+                log_end(now, &job, &format!("given_up {reason}"));
+                RunAnswer::GivenUp(reason)
+            }
+        };
+        for request in job.waiters {
+            self.answer(request, answer.clone());
+        }
+    }
+
+    /// Takes a job out and stops what is left of it.
+    fn remove(&mut self, key: HomeJobKey) -> Option<HomeJob> {
+        let job = self.jobs.remove(key)?;
+        self.by_id.swap_remove(&job.id);
+        for request in &job.waiters {
+            self.requests.swap_remove(request);
+        }
+        let of_job = self.batches.extract_if(.., |_, batch| batch.job == key);
+        let mut cancels: IndexMap<OwnerRef, Vec<u64>> = IndexMap::new();
+        for ((owner, number), _) in of_job {
+            cancels.entry(owner).or_default().push(number);
+        }
+        let is_open = |owner: OwnerRef, number: u64| {
+            let placed = HomeState::Placed {
+                owner,
+                batch: number,
+            };
+            job.tasks.iter().any(|task| task.state == placed)
+        };
+        for (owner, mut batches) in cancels {
+            batches.retain(|number| is_open(owner, *number));
+            if !batches.is_empty() {
+                self.outputs.push(HomeOutput::Cancel { owner, batches });
+            }
+        }
+        Some(job)
+    }
+
+    fn answer(&mut self, request: RequestId, answer: RunAnswer) {
+        self.outputs.push(HomeOutput::Answer { request, answer });
+    }
+
+    /// Takes in that a caller went away; its job ends when nobody else waits.
+    pub(crate) fn drop_request(&mut self, now: Timestamp, request: RequestId) {
+        let Some(key) = self.requests.swap_remove(&request) else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        job.waiters.retain(|waiter| *waiter != request);
+        if job.waiters.is_empty() {
+            self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Cancelled));
+        }
+    }
+
+    /// Cancels a job; false when it is not known here.
+    pub(crate) fn cancel(&mut self, now: Timestamp, id: JobId) -> bool {
+        if let Some(key) = self.by_id.get(&id).copied() {
+            self.end_job(now, key, JobEnd::Cancelled);
+            return true;
+        }
+        self.ended.contains_key(&id)
+    }
+
+    /// The state of a job; none when it is not known here.
+    pub(crate) fn look_up(&self, id: JobId) -> Option<RunAnswer> {
+        if let Some(end) = self.ended.get(&id) {
+            return Some(RunAnswer::Ended(*end));
+        }
+        let job = &self.jobs[*self.by_id.get(&id)?];
+        let is_running = job.may_have_run || job.is_placed();
+        Some(RunAnswer::State(match is_running {
+            true => JobProgress::Running,
+            false => JobProgress::Queued,
+        }))
+    }
+
+    /// How many jobs of each queue wait without a task started, as far as is known here.
+    pub(crate) fn waiting(&self) -> Vec<WaitingJobs> {
+        let mut waiting: IndexMap<Arc<str>, u64> = IndexMap::new();
+        for job in self.jobs.values() {
+            if !job.may_have_run && !job.is_placed() {
+                *waiting.entry(job.queue.name.clone()).or_default() += 1;
+            }
+        }
+        let waiting = waiting.into_iter();
+        waiting.map(|(queue, jobs)| WaitingJobs { queue, jobs }).collect()
+    }
+
+    /// Does what is due.
+    pub(crate) fn run_timers(&mut self, now: Timestamp) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                HomeTimer::Deadline(key) => self.pass_deadline(now, key),
+                HomeTimer::Ending(key) => self.ending_overdue(now, key),
+                HomeTimer::Adrift(key) => self.adrift_overdue(now, key),
+                HomeTimer::Forget(id) => {
+                    self.ended.swap_remove(&id);
+                }
+            }
+        }
+    }
+
+    fn pass_deadline(&mut self, now: Timestamp, key: HomeJobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let why = match job.may_have_run || job.is_placed() {
+            true => Unfinished::GivenUp(GivenUp::Deadline),
+            false => Unfinished::NotRun(NotRun::WaitedTooLong),
+        };
+        self.end_unfinished(now, key, why);
+    }
+
+    fn ending_overdue(&mut self, now: Timestamp, key: HomeJobKey) {
+        if self.jobs.contains_key(key) {
+            self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
+        }
+    }
+
+    /// The batches that are open at an owner.
+    pub(crate) fn open_at(&self, owner: OwnerRef) -> Vec<u64> {
+        let open = self.batches.keys().filter(|(at, _)| *at == owner);
+        open.map(|(_, number)| *number).collect()
+    }
+
+    /// Whether no job is open.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.jobs.is_empty()
+    }
+}
+
+/// When to come back after a refusal for load where nothing better is known.
+pub(crate) const RETRY_AFTER_OVERLOAD: Duration = Duration::from_secs(1);
+
+/// The expected run time of the longest chain of steps.
+pub(crate) fn longest_chain(spec: &JobSpec, expected_runs: &[Duration]) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(expected_runs.len());
+    for (step, run) in spec.steps.iter().zip(expected_runs) {
+        let earlier = step.after.iter();
+        let earlier = earlier.filter_map(|number| ends.get(*number as usize));
+        let start = earlier.max().copied().unwrap_or_default();
+        ends.push(start + *run);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
+fn log_end(now: Timestamp, job: &HomeJob, outcome: &str) {
+    let took_ms = now.since(job.accepted_at).as_millis();
+    let is_late = now > job.objective_at;
+    tracing::info!(
+        job = %job.id, queue = %job.queue.name, outcome, took_ms, is_late,
+        tasks = job.tasks.len(), open_tasks = job.open_tasks, placements = job.placements,
+        "job ended"
+    );
+}
+
--- /dev/null
+++ b/lib/src/runs/home_job.rs
@@ -0,0 +1,195 @@
+//! A job at its home.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::intended_state::JobQueueSettings;
+use super::job_spec::JobSpec;
+use super::run_answer::GivenUp;
+use super::run_answer::NotRun;
+use super::run_id::JobId;
+use super::run_id::RunId;
+use super::run_id::TaskName;
+use super::run_message::PlacedTask;
+use super::run_message::RunBatch;
+use super::run_message::StepDemand;
+use super::spread::OwnerRef;
+use crate::id::RequestId;
+use crate::time::Timestamp;
+
+/// A job that has not ended.
+#[derive(Debug)]
+pub(crate) struct HomeJob {
+    pub(crate) id: JobId,
+    pub(crate) queue: Arc<JobQueueSettings>,
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) waiters: Vec<RequestId>,
+    pub(crate) accepted_at: Timestamp,
+    pub(crate) objective_at: Timestamp,
+    pub(crate) deadline: Timestamp,
+    /// The expected run time of a task, by step.
+    pub(crate) expected_runs: Vec<Duration>,
+    /// The tasks that are not done, by step.
+    pub(crate) open_by_step: Vec<u32>,
+    pub(crate) tasks: Vec<HomeTask>,
+    pub(crate) open_tasks: usize,
+    /// Whether some run may have started.
+    pub(crate) may_have_run: bool,
+    /// Why it will end unfinished, once that is known.
+    pub(crate) ending: Option<NotRun>,
+    pub(crate) placements: u32,
+}
+
+/// One task.
+#[derive(Debug)]
+pub(crate) struct HomeTask {
+    pub(crate) step: u32,
+    pub(crate) index: u32,
+    pub(crate) run: u32,
+    pub(crate) failures: u32,
+    pub(crate) avoid: Vec<Arc<str>>,
+    pub(crate) state: HomeState,
+}
+
+/// Where a task is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HomeState {
+    /// Earlier steps are not done.
+    Blocked,
+    /// It waits for an owner.
+    Waiting,
+    /// An owner has it.
+    Placed {
+        /// The owner.
+        owner: OwnerRef,
+        /// The batch.
+        batch: u64,
+    },
+    /// It may still run, and nobody who says so is in reach.
+    Adrift {
+        /// Since when.
+        since: Timestamp,
+    },
+    /// It is done.
+    Done,
+}
+
+/// How a job ends that does not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unfinished {
+    NotRun(NotRun),
+    GivenUp(GivenUp),
+}
+
+impl HomeJob {
+    /// The run of a task.
+    pub(crate) fn run(&self, task: usize) -> RunId {
+        let HomeTask {
+            step, index, run, ..
+        } = self.tasks[task];
+        RunId {
+            task: TaskName {
+                job: self.id,
+                occurrence: 0,
+                step,
+                index,
+            },
+            run,
+        }
+    }
+
+    /// The task with this name and number of start.
+    pub(crate) fn task_of(&self, run: RunId) -> Option<usize> {
+        let mut tasks = self.tasks.iter();
+        tasks.position(|task| {
+            task.step == run.task.step && task.index == run.task.index && task.run == run.run
+        })
+    }
+
+    /// The number of tasks.
+    pub(crate) fn task_count(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a task waits for an owner.
+    pub(crate) fn is_waiting(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        tasks.any(|task| task.state == HomeState::Waiting)
+    }
+
+    /// Whether an owner has a task.
+    pub(crate) fn is_placed(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        tasks.any(|task| matches!(task.state, HomeState::Placed { .. } | HomeState::Adrift { .. }))
+    }
+
+    /// Lets the tasks wait for owners whose earlier steps are done.
+    pub(crate) fn unblock(&mut self) {
+        for task in &mut self.tasks {
+            if task.state != HomeState::Blocked {
+                continue;
+            }
+            let after = &self.spec.steps[task.step as usize].after;
+            let mut after = after.iter();
+            if after.all(|earlier| self.open_by_step[*earlier as usize] == 0) {
+                task.state = HomeState::Waiting;
+            }
+        }
+    }
+
+    /// The time that a task started now would still need in the best case.
+    pub(crate) fn least_run(&self, task: usize) -> Duration {
+        let expected = self.expected_runs[self.tasks[task].step as usize];
+        expected.mul_f64(LEAST_RUN)
+    }
+}
+
+/// The share of its expected run time that a task needs at the least: upstreams run up to a
+/// quarter faster than the usual one, and figures are rough.
+const LEAST_RUN: f64 = 0.6;
+
+impl HomeJob {
+    /// The message that hands tasks to an owner.
+    pub(crate) fn to_batch(&self, now: Timestamp, number: u64, tasks: &[usize]) -> RunBatch {
+        let mut steps: Vec<u32> = tasks.iter().map(|task| self.tasks[*task].step).collect();
+        steps.sort_unstable();
+        steps.dedup();
+        let demands = steps.into_iter().map(|step| {
+            let spec = &self.spec.steps[step as usize];
+            StepDemand {
+                step,
+                room: spec.room,
+                expected_run: self.expected_runs[step as usize],
+                required_label: spec.required_label.clone(),
+                data_rack: spec.data_rack.clone(),
+                most_per_upstream: spec.most_per_upstream,
+            }
+        });
+        let placed = tasks.iter().map(|task| {
+            let state = &self.tasks[*task];
+            PlacedTask {
+                step: state.step,
+                index: state.index,
+                run: state.run,
+                avoid: state.avoid.clone(),
+            }
+        });
+        RunBatch {
+            number,
+            job: self.id,
+            service: self.queue.service.clone(),
+            spec: self.spec.spec.clone(),
+            priority: self.queue.priority,
+            objective_left_us: signed_us(now, self.objective_at),
+            deadline_left: self.deadline.since(now),
+            demands: demands.collect(),
+            tasks: placed.collect(),
+        }
+    }
+}
+
+/// The time from `now` to `at` in microseconds, negative when `at` has passed.
+fn signed_us(now: Timestamp, at: Timestamp) -> i64 {
+    let us = |timestamp: Timestamp| i64::try_from(timestamp.as_us()).unwrap_or(i64::MAX);
+    us(at).saturating_sub(us(now))
+}
--- /dev/null
+++ b/lib/src/runs/leased_upstream.rs
@@ -0,0 +1,130 @@
+//! One upstream that this instance owns.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::leased_run::LeasedRun;
+use super::listed_upstream::ListedUpstream;
+use super::resources::Resources;
+use super::run_id::RunId;
+use super::upstream_clock::UpstreamClock;
+use crate::health::UpstreamHealth;
+use crate::time::Timestamp;
+
+/// The weight of one run in the learned slowness.
+const SLOWNESS_WEIGHT: f64 = 0.1;
+
+/// The bounds of one run's share in the learned slowness, so that one odd run says little.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 8.0);
+
+/// Whether an upstream answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Contact {
+    /// It has not answered since it was taken over.
+    Taking,
+    /// It answers.
+    InTouch,
+    /// It does not answer.
+    Silent {
+        /// Since when.
+        since: Timestamp,
+    },
+}
+
+/// A run that is listed and that nobody here ordered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stray {
+    pub(crate) found_at: Timestamp,
+    pub(crate) asked: bool,
+}
+
+/// An upstream that this instance owns.
+#[derive(Debug)]
+pub(crate) struct LeasedUpstream {
+    pub(crate) listed: Arc<ListedUpstream>,
+    pub(crate) fence: u64,
+    /// Whether another instance is to own it, and nothing new starts.
+    pub(crate) is_released: bool,
+    pub(crate) contact: Contact,
+    pub(crate) clock: Option<UpstreamClock>,
+    pub(crate) born_unix_ms: Option<u64>,
+    pub(crate) seen_end: u64,
+    pub(crate) lease_until_ms: u64,
+    pub(crate) runs: IndexMap<RunId, LeasedRun>,
+    pub(crate) strays: IndexMap<RunId, Stray>,
+    pub(crate) health: UpstreamHealth,
+    pub(crate) slowness: f64,
+    /// Whether a hold is under way.
+    pub(crate) is_held: bool,
+}
+
+impl LeasedUpstream {
+    pub(crate) fn new(listed: Arc<ListedUpstream>, fence: u64) -> Self {
+        LeasedUpstream {
+            listed,
+            fence,
+            is_released: false,
+            contact: Contact::Taking,
+            clock: None,
+            born_unix_ms: None,
+            seen_end: 0,
+            lease_until_ms: 0,
+            runs: IndexMap::new(),
+            strays: IndexMap::new(),
+            health: UpstreamHealth::default(),
+            slowness: 1.0,
+            is_held: false,
+        }
+    }
+
+    /// The room that no run uses.
+    pub(crate) fn free(&self) -> Resources {
+        let mut used = Resources::default();
+        for run in self.runs.values() {
+            used += run.room;
+        }
+        self.listed.room.minus(used)
+    }
+
+    /// Whether a task may start there now, as far as room is not concerned.
+    pub(crate) fn takes_work(&self, now: Timestamp) -> bool {
+        let in_flight = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
+        self.is_usable() && self.strays.is_empty() && self.health.may_start(now, in_flight)
+    }
+
+    /// Whether it is in touch and stays.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.contact == Contact::InTouch && !self.is_released && !self.listed.draining
+    }
+
+    /// Whether it has a label.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        self.listed.labels.iter().any(|own| &**own == label)
+    }
+
+    /// When everything that runs there has surely ended, if nothing more is ordered.
+    pub(crate) fn lapses_at(&self) -> Option<Timestamp> {
+        self.clock.map(|clock| clock.surely_passes_at(self.lease_until_ms))
+    }
+
+    /// The time on its clock until which an order of now may let it run; the lease grows with it.
+    pub(crate) fn extend_lease(&mut self, now: Timestamp, lease: Duration) -> Option<u64> {
+        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        let until_ms = self.clock?.estimate_ms(now).saturating_add(lease_ms);
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        Some(until_ms)
+    }
+
+    /// Learns from a run that is done.
+    pub(crate) fn record_run(&mut self, expected: Duration, took: Duration) {
+        if expected.is_zero() {
+            return;
+        }
+        let ratio = took.as_secs_f64() / expected.as_secs_f64();
+        let (least, most) = SLOWNESS_BOUNDS;
+        let ratio = ratio.clamp(least, most);
+        self.slowness = self.slowness.powf(1.0 - SLOWNESS_WEIGHT) * ratio.powf(SLOWNESS_WEIGHT);
+    }
+}
--- /dev/null
+++ b/lib/src/runs/owner_answers.rs
@@ -0,0 +1,683 @@
+//! What an owner makes of the answers to its orders, and of answers that stay out.
+
+use std::time::Duration;
+
+use super::leased_run::RunPhase;
+use super::leased_run::StopReason;
+use super::leased_upstream::Contact;
+use super::leased_upstream::Stray;
+use super::owner::Owner;
+use super::owner::OwnerNotice;
+use super::owner::OwnerTimer;
+use super::owner::PendingKind;
+use super::run_id::LeasedUpstreamKey;
+use super::run_id::OrderId;
+use super::run_id::RunId;
+use super::run_message::FoundEnd;
+use super::run_message::NotStarted;
+use super::run_message::RunEnd;
+use super::run_order::EndedHow;
+use super::run_order::EndedRow;
+use super::run_order::HoldReport;
+use super::run_order::OrderAnswer;
+use super::run_order::OrderRefusal;
+use super::run_order::RunOrder;
+use super::run_order::RunningRow;
+use super::upstream_clock::UpstreamClock;
+use crate::health::HealthChange;
+use crate::time::Timestamp;
+
+/// How long a hold waits for an end while something runs: a quarter of the longest lease, so that
+/// three holds may fail before a lease runs out.
+pub(crate) const BUSY_HOLD: Duration = Duration::from_millis(250);
+
+/// How long a hold waits for an end while nothing runs; a start lasts longer by itself.
+pub(crate) const IDLE_HOLD: Duration = Duration::from_millis(500);
+
+/// The shortest time between two holds that bring nothing new.
+const HOLD_GAP: Duration = Duration::from_millis(40);
+
+/// How long after a hold without an answer the next look follows.
+const SILENT_RETRY: Duration = Duration::from_millis(100);
+
+/// How long after a hold without an answer the next look follows where nothing runs.
+const IDLE_SILENT_RETRY: Duration = Duration::from_millis(400);
+
+/// How long after a stop without an answer it is ordered again.
+const STOP_RETRY: Duration = Duration::from_millis(100);
+
+/// How long homes may take to claim runs that were found on an upstream.
+///
+/// A message and its answer take a few milliseconds; a busy instance some tens.
+const CLAIM_TIME: Duration = Duration::from_millis(250);
+
+impl Owner {
+    /// Takes in what came back of an order.
+    pub(crate) fn order_answered(&mut self, now: Timestamp, order: OrderId, answer: OrderAnswer) {
+        let Some(pending) = self.orders.swap_remove(&order) else {
+            return;
+        };
+        let on = pending.upstream;
+        if !self.upstreams.contains_key(on) {
+            return;
+        }
+        self.read_clock(now, on, &answer);
+        match pending.kind {
+            PendingKind::Start(run) => self.start_answered(now, on, run, answer),
+            PendingKind::Stop(run) => self.stop_answered(now, on, run, &answer),
+            PendingKind::Hold => {
+                self.upstreams[on].is_held = false;
+                self.hold_answered(now, on, pending.sent_at, answer);
+            }
+            PendingKind::Probe => self.probe_answered(now, on, pending.sent_at, answer),
+        }
+    }
+
+    fn read_clock(&mut self, now: Timestamp, on: LeasedUpstreamKey, answer: &OrderAnswer) {
+        let clock_ms = match answer {
+            OrderAnswer::Done { clock_ms } | OrderAnswer::Refused { clock_ms, .. } => *clock_ms,
+            _ => None,
+        };
+        if let Some(clock_ms) = clock_ms {
+            self.upstreams[on].clock = Some(UpstreamClock::new(clock_ms, now));
+        }
+    }
+
+    fn start_answered(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        run: RunId,
+        answer: OrderAnswer,
+    ) {
+        let Some(leased) = self.upstreams[on].runs.get_mut(&run) else {
+            return;
+        };
+        match answer {
+            OrderAnswer::Done { .. } | OrderAnswer::Held(_) => {
+                if leased.phase == RunPhase::Starting {
+                    leased.phase = RunPhase::Active { since: now };
+                }
+            }
+            OrderAnswer::Lost => {
+                if leased.phase == RunPhase::Starting {
+                    tracing::warn!(job = %run.task.job, run = %run, "start not answered");
+                    leased.phase = RunPhase::Uncertain { since: now };
+                }
+                self.probe(now, on);
+            }
+            OrderAnswer::NotSent => {
+                self.start_refused(now, on, run, None);
+                self.fall_silent(now, on);
+            }
+            OrderAnswer::Refused { refusal, .. } => {
+                self.start_refused(now, on, run, Some(refusal));
+            }
+        }
+    }
+
+    /// Takes back a run that the upstream did not start, and looks for another place.
+    fn start_refused(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        run: RunId,
+        refusal: Option<OrderRefusal>,
+    ) {
+        let upstream = &mut self.upstreams[on];
+        let Some(leased) = upstream.runs.swap_remove(&run) else {
+            return;
+        };
+        let id = upstream.listed.id.clone();
+        let reason = refusal.map_or("not_sent".to_owned(), |refusal| refusal.to_string());
+        let free_millicores = upstream.free().cpu_millicores;
+        tracing::warn!(
+            job = %run.task.job, run = %run, upstream = %id, reason, free_millicores,
+            "start refused"
+        );
+        match refusal {
+            Some(OrderRefusal::OldRun) => self.end_task(leased.task, NotStarted::OldRun),
+            Some(OrderRefusal::Invalid) => self.end_task(leased.task, NotStarted::Invalid),
+            Some(OrderRefusal::NoRoom) => {
+                upstream.health.on_refusal(now);
+                self.requeue(leased.task, None);
+                self.wake_after_health(now, on);
+            }
+            Some(OrderRefusal::LeaseOver) => {
+                self.requeue(leased.task, None);
+                self.probe(now, on);
+            }
+            Some(OrderRefusal::Unhealthy) => {
+                self.count_failure(now, on);
+                self.requeue(leased.task, Some(id));
+            }
+            Some(OrderRefusal::Fence) => {
+                self.requeue(leased.task, None);
+                self.lose_to_newer_owner(on);
+            }
+            Some(OrderRefusal::OtherLife) => {
+                self.requeue(leased.task, None);
+                self.begin_life(now, on, None);
+            }
+            None => self.requeue(leased.task, Some(id)),
+        }
+    }
+
+    fn end_task(&mut self, task: Option<(super::run_id::HeldBatchKey, usize)>, why: NotStarted) {
+        self.mark_dirty();
+        if let Some((key, task)) = task {
+            self.report(key, task, RunEnd::NotStarted(why));
+        }
+    }
+
+    fn stop_answered(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        run: RunId,
+        answer: &OrderAnswer,
+    ) {
+        match answer {
+            OrderAnswer::Done { .. } => self.stop_acknowledged(now, on, run),
+            OrderAnswer::Refused { refusal, .. } => match refusal {
+                OrderRefusal::Fence => self.lose_to_newer_owner(on),
+                OrderRefusal::OtherLife => self.begin_life(now, on, None),
+                _ => self.stop_later(now, on, run),
+            },
+            _ => self.stop_later(now, on, run),
+        }
+    }
+
+    fn stop_acknowledged(&mut self, now: Timestamp, on: LeasedUpstreamKey, run: RunId) {
+        let Some(leased) = self.upstreams[on].runs.get_mut(&run) else {
+            return;
+        };
+        let RunPhase::Stopping {
+            acknowledged_at,
+            reason,
+        } = &mut leased.phase
+        else {
+            return;
+        };
+        *acknowledged_at = Some(now);
+        let may_not_have_started = *reason == StopReason::Uncertain;
+        if may_not_have_started {
+            self.probe(now, on);
+        }
+    }
+
+    fn stop_later(&mut self, now: Timestamp, on: LeasedUpstreamKey, run: RunId) {
+        let again = OwnerTimer::StopAgain(on, run);
+        self.timers.subscribe(now + STOP_RETRY, again);
+    }
+
+    fn hold_answered(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        sent_at: Timestamp,
+        answer: OrderAnswer,
+    ) {
+        match answer {
+            OrderAnswer::Held(report) => {
+                let brought_news = self.take_report(now, on, sent_at, report);
+                let came_early = now.since(sent_at) < HOLD_GAP;
+                if !self.upstreams.contains_key(on) {
+                    return;
+                }
+                if brought_news || !came_early {
+                    self.hold(now, on);
+                } else {
+                    self.timers.subscribe(now + HOLD_GAP, OwnerTimer::Hold(on));
+                }
+            }
+            OrderAnswer::Refused { refusal, .. } => {
+                self.hold_refused(now, on, refusal);
+            }
+            _ => self.fall_silent(now, on),
+        }
+    }
+
+    fn probe_answered(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        sent_at: Timestamp,
+        answer: OrderAnswer,
+    ) {
+        match answer {
+            OrderAnswer::Held(report) => {
+                self.take_report(now, on, sent_at, report);
+            }
+            OrderAnswer::Refused { refusal, .. } => {
+                self.hold_refused(now, on, refusal);
+            }
+            _ => self.fall_silent(now, on),
+        }
+    }
+
+    fn hold_refused(&mut self, now: Timestamp, on: LeasedUpstreamKey, refusal: OrderRefusal) {
+        match refusal {
+            OrderRefusal::Fence => self.lose_to_newer_owner(on),
+            OrderRefusal::OtherLife => {
+                self.begin_life(now, on, None);
+                self.hold(now, on);
+            }
+            _ => {
+                let id = &self.upstreams[on].listed.id;
+                tracing::warn!(upstream = %id, %refusal, "hold refused");
+                self.fall_silent(now, on);
+            }
+        }
+    }
+
+    /// Renews the leases on an upstream and waits for ends, unless that is under way.
+    pub(crate) fn hold(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let lease = self.lease;
+        let Some(upstream) = self.upstreams.get_mut(on) else {
+            return;
+        };
+        if upstream.is_held {
+            return;
+        }
+        upstream.is_held = true;
+        let wait = match upstream.contact {
+            Contact::InTouch if upstream.runs.is_empty() => IDLE_HOLD,
+            Contact::InTouch => BUSY_HOLD,
+            _ => Duration::ZERO,
+        };
+        // A silent upstream is looked at without renewing: its leases are to run out.
+        let lease_until_ms = match upstream.contact {
+            Contact::InTouch => upstream.extend_lease(now, lease),
+            _ => None,
+        };
+        let order = RunOrder::Hold {
+            lease_until_ms,
+            fence: upstream.fence,
+            seen_end: upstream.seen_end,
+            wait,
+        };
+        self.give(now, on, PendingKind::Hold, order);
+    }
+
+    /// Looks at an upstream at once, beside a hold that waits.
+    fn probe(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let Some(upstream) = self.upstreams.get(on) else {
+            return;
+        };
+        let order = RunOrder::Hold {
+            lease_until_ms: None,
+            fence: upstream.fence,
+            seen_end: upstream.seen_end,
+            wait: Duration::ZERO,
+        };
+        self.give(now, on, PendingKind::Probe, order);
+    }
+
+    /// Takes in what an upstream lists; true when it brought ends.
+    fn take_report(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        sent_at: Timestamp,
+        report: HoldReport,
+    ) -> bool {
+        let upstream = &mut self.upstreams[on];
+        let first = upstream.contact == Contact::Taking;
+        if upstream.born_unix_ms.is_some() && report.born_unix_ms != upstream.born_unix_ms {
+            self.begin_life(now, on, report.born_unix_ms);
+        }
+        let upstream = &mut self.upstreams[on];
+        upstream.born_unix_ms = report.born_unix_ms.or(upstream.born_unix_ms);
+        upstream.clock = Some(UpstreamClock::new(report.clock_ms, now));
+        if upstream.contact != Contact::InTouch {
+            tracing::info!(upstream = %upstream.listed.id, "upstream in touch");
+            upstream.contact = Contact::InTouch;
+            self.mark_dirty();
+        }
+        let (brought_news, found) = self.take_ends(now, on, &report.ended);
+        self.take_running(now, on, sent_at, &report.running);
+        self.find_vanished(now, on, sent_at, &report.running);
+        self.announce_strays(now, on, sent_at, first, found);
+        self.drop_if_released(on);
+        brought_news
+    }
+
+    /// Takes note of ends; gives those of runs that this instance did not order.
+    fn take_ends(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        ended: &[EndedRow],
+    ) -> (bool, Vec<FoundEnd>) {
+        let mut brought_news = false;
+        let mut found = Vec::new();
+        for row in ended {
+            let upstream = &mut self.upstreams[on];
+            if row.number <= upstream.seen_end {
+                continue;
+            }
+            upstream.seen_end = row.number;
+            brought_news = true;
+            let Some(run) = row.run else {
+                continue;
+            };
+            upstream.strays.swap_remove(&run);
+            if upstream.runs.contains_key(&run) {
+                self.end_run(now, on, run, row.how);
+            } else {
+                found.push(FoundEnd {
+                    run,
+                    done: row.how == EndedHow::Done,
+                    failed: row.how == EndedHow::Failed,
+                });
+            }
+        }
+        (brought_news, found)
+    }
+
+    fn end_run(&mut self, now: Timestamp, on: LeasedUpstreamKey, run: RunId, how: EndedHow) {
+        let upstream = &mut self.upstreams[on];
+        let Some(leased) = upstream.runs.swap_remove(&run) else {
+            return;
+        };
+        let id = upstream.listed.id.clone();
+        let took = now.since(leased.ordered_at);
+        tracing::info!(
+            job = %run.task.job, run = %run, upstream = %id, how = %how,
+            took_ms = took.as_millis(), expected_ms = leased.expected_run.as_millis(),
+            "run ended"
+        );
+        let end = match how {
+            EndedHow::Done => {
+                // Its queue is looked at again after every end, restored or not.
+                let _ = upstream.health.on_success(now);
+                let expected = leased.expected_run.div_f64(upstream.slowness);
+                upstream.record_run(expected, took);
+                let work = took.div_f64(upstream.slowness);
+                RunEnd::Done { work }
+            }
+            EndedHow::Failed => {
+                if leased.task.is_some() {
+                    self.count_failure(now, on);
+                }
+                RunEnd::Failed { upstream: id }
+            }
+            EndedHow::Stopped | EndedHow::Lapsed | EndedHow::Other => RunEnd::Lost { upstream: id },
+        };
+        self.mark_dirty();
+        if let Some((key, task)) = leased.task {
+            self.report(key, task, end);
+        }
+    }
+
+    fn take_running(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        sent_at: Timestamp,
+        running: &[RunningRow],
+    ) {
+        let mut stalled = Vec::new();
+        let upstream = &mut self.upstreams[on];
+        for row in running {
+            match upstream.runs.get_mut(&row.run) {
+                Some(leased) => {
+                    leased.note_running(now, row.percent);
+                    if leased.is_stalled(now) {
+                        stalled.push(row.run);
+                    }
+                }
+                None => {
+                    upstream.strays.entry(row.run).or_insert(Stray {
+                        found_at: now,
+                        asked: false,
+                    });
+                }
+            }
+        }
+        // A report asked for before a stray was seen may be older than its end.
+        let is_listed = |run: &RunId| running.iter().any(|row| row.run == *run);
+        upstream
+            .strays
+            .retain(|run, stray| is_listed(run) || stray.found_at > sent_at);
+        for run in stalled {
+            self.count_failure(now, on);
+            self.stop(now, on, run, StopReason::Stalled);
+        }
+    }
+
+    /// Takes in that runs are listed no more without an end.
+    fn find_vanished(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        sent_at: Timestamp,
+        running: &[RunningRow],
+    ) {
+        let is_listed = |run: &RunId| running.iter().any(|row| row.run == *run);
+        let upstream = &self.upstreams[on];
+        let missing = upstream.runs.iter().filter(|(run, _)| !is_listed(run));
+        let missing: Vec<(RunId, RunPhase)> =
+            missing.map(|(run, leased)| (*run, leased.phase)).collect();
+        for (run, phase) in missing {
+            match phase {
+                RunPhase::Active { since } if since < sent_at => {
+                    self.lose_run(on, run, "vanished");
+                }
+                RunPhase::Uncertain { since } if since < sent_at => {
+                    self.stop(now, on, run, StopReason::Uncertain);
+                }
+                RunPhase::Stopping {
+                    reason,
+                    acknowledged_at: Some(at),
+                } if at < sent_at => match reason {
+                    StopReason::Uncertain => self.take_back(on, run),
+                    _ => self.lose_run(on, run, "stopped"),
+                },
+                _ => {}
+            }
+        }
+    }
+
+    /// Puts a task back whose start never took effect and never will.
+    fn take_back(&mut self, on: LeasedUpstreamKey, run: RunId) {
+        let upstream = &mut self.upstreams[on];
+        let id = upstream.listed.id.clone();
+        tracing::info!(job = %run.task.job, run = %run, upstream = %id, "start withdrawn");
+        if let Some(leased) = upstream.runs.swap_remove(&run) {
+            self.requeue(leased.task, Some(id));
+        }
+    }
+
+    /// Reports a run that runs no more without having ended.
+    fn lose_run(&mut self, on: LeasedUpstreamKey, run: RunId, why: &str) {
+        let upstream = &mut self.upstreams[on];
+        let Some(leased) = upstream.runs.swap_remove(&run) else {
+            return;
+        };
+        let id = upstream.listed.id.clone();
+        tracing::warn!(job = %run.task.job, run = %run, upstream = %id, why, "run lost");
+        self.mark_dirty();
+        if let Some((key, task)) = leased.task {
+            self.report(key, task, RunEnd::Lost { upstream: id });
+        }
+    }
+
+    /// Reports all runs of an upstream as lost.
+    pub(crate) fn lose_runs(&mut self, _now: Timestamp, on: LeasedUpstreamKey, why: &str) {
+        let runs: Vec<RunId> = self.upstreams[on].runs.keys().copied().collect();
+        for run in runs {
+            self.lose_run(on, run, why);
+        }
+    }
+
+    /// Asks homes for runs that this instance did not order, and passes on ends of such runs.
+    fn announce_strays(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        sent_at: Timestamp,
+        first: bool,
+        ended: Vec<FoundEnd>,
+    ) {
+        let upstream = &mut self.upstreams[on];
+        let mut running = Vec::new();
+        for (run, stray) in &mut upstream.strays {
+            if !stray.asked && (first || stray.found_at < sent_at) {
+                stray.asked = true;
+                running.push(*run);
+            }
+        }
+        if running.is_empty() && ended.is_empty() {
+            return;
+        }
+        let id = upstream.listed.id.clone();
+        let (runs, ends) = (running.len(), ended.len());
+        tracing::info!(upstream = %id, runs, ends, "found runs of another owner");
+        if !running.is_empty() {
+            let unclaimed = OwnerTimer::Unclaimed(on);
+            self.timers.subscribe(now + CLAIM_TIME, unclaimed);
+        }
+        self.notices.push(OwnerNotice::Found {
+            upstream: id,
+            running,
+            ended,
+        });
+    }
+
+    /// Notes that an upstream does not answer, and looks again soon.
+    fn fall_silent(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let Some(upstream) = self.upstreams.get_mut(on) else {
+            return;
+        };
+        if upstream.contact == Contact::InTouch {
+            let runs = upstream.runs.len();
+            tracing::warn!(upstream = %upstream.listed.id, runs, "upstream silent");
+            upstream.contact = Contact::Silent { since: now };
+        }
+        if !upstream.runs.is_empty()
+            && let Some(at) = upstream.lapses_at()
+        {
+            self.timers.subscribe(at.max(now), OwnerTimer::Lapse(on));
+        }
+        let retry = match upstream.runs.is_empty() {
+            true => IDLE_SILENT_RETRY,
+            false => SILENT_RETRY,
+        };
+        self.timers.subscribe(now + retry, OwnerTimer::Hold(on));
+    }
+
+    /// Loses all runs of an upstream that is still silent when its leases have run out.
+    fn lapse(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let Some(upstream) = self.upstreams.get(on) else {
+            return;
+        };
+        let is_silent = matches!(upstream.contact, Contact::Silent { .. });
+        match upstream.lapses_at() {
+            Some(at) if is_silent && at <= now => {
+                self.lose_runs(now, on, "lease_over");
+                self.drop_if_released(on);
+            }
+            Some(at) if is_silent && !upstream.runs.is_empty() => {
+                self.timers.subscribe(at, OwnerTimer::Lapse(on));
+            }
+            _ => {}
+        }
+    }
+
+    /// Begins anew with an upstream that has started again: nothing of before runs there.
+    pub(crate) fn begin_life(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        born_unix_ms: Option<u64>,
+    ) {
+        let id = &self.upstreams[on].listed.id;
+        tracing::warn!(upstream = %id, ?born_unix_ms, "upstream lives another life");
+        self.lose_runs(now, on, "upstream_restarted");
+        let upstream = &mut self.upstreams[on];
+        upstream.born_unix_ms = born_unix_ms;
+        upstream.seen_end = 0;
+        upstream.lease_until_ms = 0;
+        upstream.clock = None;
+        upstream.contact = Contact::Taking;
+        upstream.strays.clear();
+    }
+
+    /// Gives an upstream up to the instance that holds it under a higher fence.
+    fn lose_to_newer_owner(&mut self, on: LeasedUpstreamKey) {
+        let Some(upstream) = self.remove(on) else {
+            return;
+        };
+        let (id, fence) = (upstream.listed.id.clone(), upstream.fence);
+        let runs = upstream.runs.len();
+        tracing::warn!(upstream = %id, fence, runs, "upstream has a newer owner");
+        self.lost.insert(id, fence);
+        for leased in upstream.runs.into_values() {
+            if let Some((key, task)) = leased.task {
+                self.report(key, task, RunEnd::TakenOver);
+            }
+        }
+    }
+
+    fn count_failure(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let upstream = &mut self.upstreams[on];
+        let service = upstream.listed.service.clone();
+        if upstream.health.on_failure(now) == HealthChange::Ejected {
+            tracing::warn!(upstream = %upstream.listed.id, "upstream ejected");
+            self.review_ejections(now, &service);
+        }
+        self.wake_after_health(now, on);
+    }
+
+    fn wake_after_health(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        if let Some(at) = self.upstreams[on].health.next_change(now) {
+            self.timers.subscribe(at, OwnerTimer::Dispatch);
+        }
+    }
+
+    /// Stops runs that no home has claimed.
+    fn stop_unclaimed(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let Some(upstream) = self.upstreams.get_mut(on) else {
+            return;
+        };
+        let due = upstream.strays.iter();
+        let due = due.filter(|(_, stray)| stray.asked);
+        let due: Vec<RunId> = due.map(|(run, _)| *run).collect();
+        if due.is_empty() {
+            return;
+        }
+        for run in due {
+            self.stop(now, on, run, StopReason::Unclaimed);
+        }
+        let again = OwnerTimer::Unclaimed(on);
+        self.timers.subscribe(now + CLAIM_TIME, again);
+    }
+
+    /// Does what is due.
+    pub(crate) fn run_timers(&mut self, now: Timestamp) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                OwnerTimer::Hold(on) => self.hold(now, on),
+                OwnerTimer::Lapse(on) => self.lapse(now, on),
+                OwnerTimer::Unclaimed(on) => self.stop_unclaimed(now, on),
+                OwnerTimer::StopAgain(on, run) => self.stop_again(now, on, run),
+                OwnerTimer::Dispatch => self.mark_dirty(),
+            }
+        }
+    }
+
+    fn stop_again(&mut self, now: Timestamp, on: LeasedUpstreamKey, run: RunId) {
+        let Some(upstream) = self.upstreams.get(on) else {
+            return;
+        };
+        let Some(leased) = upstream.runs.get(&run) else {
+            return;
+        };
+        if let RunPhase::Stopping { reason, .. } = leased.phase {
+            self.stop(now, on, run, reason);
+        }
+    }
+}
+
--- /dev/null
+++ b/lib/src/runs/run_digest.rs
@@ -0,0 +1,45 @@
+//! An instance's short report of its load.
+
+use std::sync::Arc;
+
+use almondhead_macros::value;
+
+use super::resources::Resources;
+
+/// The load of one instance.
+#[value]
+#[derive(Default)]
+pub struct RunDigest {
+    /// The load by service.
+    pub services: Vec<RunLoad>,
+    /// The queues whose jobs wait at this instance, as home, without a task started.
+    pub waiting: Vec<WaitingJobs>,
+    /// The version of the intended state that it holds, zero when none.
+    pub intended_version: u64,
+    /// Whether it is stopping and takes no new work.
+    pub leaving: bool,
+}
+
+/// What an instance can run of one service.
+#[value]
+pub struct RunLoad {
+    /// The service.
+    pub service: Arc<str>,
+    /// The free room of each upstream that takes tasks now.
+    pub free: Vec<Resources>,
+    /// The room of all upstreams in reach, used or free.
+    pub total: Resources,
+    /// The work that waits here, in milliseconds of one core.
+    pub queued_core_ms: u64,
+    /// The tasks that wait here.
+    pub queued_tasks: u32,
+}
+
+/// Jobs of one queue that wait.
+#[value]
+pub struct WaitingJobs {
+    /// The queue.
+    pub queue: Arc<str>,
+    /// How many of its jobs have not started.
+    pub jobs: u64,
+}
--- /dev/null
+++ b/lib/src/runs/run_dispatcher.rs
@@ -0,0 +1,814 @@
+//! The dispatcher of leased runs: every decision of one instance, as home and as owner.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+
+use super::event::Ask;
+use super::event::RunEvent;
+use super::home::Home;
+use super::home::HomeOutput;
+use super::home_job::HomeState;
+use super::home_job::Unfinished;
+use super::intended_state::IntendedState;
+use super::owner::Owner;
+use super::owner::OwnerNotice;
+use super::peer_table::Freshness;
+use super::peer_table::PeerTable;
+use super::roster::Roster;
+use super::run_action::PeerAddress;
+use super::run_action::RunAction;
+use super::run_answer::NotRun;
+use super::run_answer::RunAnswer;
+use super::run_digest::RunDigest;
+use super::run_id::HomeJobKey;
+use super::run_id::PeerKey;
+use super::run_message::PeerReport;
+use super::run_message::RunEnds;
+use super::run_message::RunMessage;
+use super::run_message::TimedRunMessage;
+use super::run_settings::RunSettings;
+use super::spread::Distance;
+use super::spread::OwnerRef;
+use super::spread::OwnerView;
+use super::spread::choose_owner;
+use super::upstream_listing::UpstreamListing;
+use crate::event::PeerIdentity;
+use crate::id::Incarnation;
+use crate::id::RequestId;
+use crate::time::Timestamp;
+use crate::timer::TimerService;
+
+/// The time between two heartbeats to the same instance.
+pub const HEARTBEAT: Duration = Duration::from_millis(150);
+
+/// The shortest time between two reports of a changed load.
+const REPORT_GAP: Duration = Duration::from_millis(25);
+
+/// The part of all room that must have become free or used for a report between heartbeats.
+const REPORTED_SHARE: u32 = 8;
+
+/// How long a job waits for any owner to come into reach.
+const NO_OWNER_TIME: Duration = Duration::from_millis(100);
+
+/// Reads intended states that other instances pass on.
+pub trait IntendedDecoder: fmt::Debug + Send {
+    /// The state in these bytes; none when they hold none.
+    fn decode(&self, body: &[u8]) -> Option<IntendedState>;
+}
+
+/// What the dispatcher's own parts subscribe to.
+#[derive(Clone, Copy, Debug)]
+enum OwnTimer {
+    Heartbeat,
+    Report,
+}
+
+/// Decides what one instance does: same events, same actions.
+#[derive(Debug)]
+pub struct RunDispatcher {
+    pub(crate) settings: RunSettings,
+    pub(crate) now: Timestamp,
+    pub(crate) actions: Vec<RunAction>,
+    pub(crate) home: Home,
+    pub(crate) owner: Owner,
+    pub(crate) peers: PeerTable,
+    pub(crate) listing: UpstreamListing,
+    pub(crate) intended: Option<Arc<IntendedState>>,
+    intended_body: Bytes,
+    decoder: Box<dyn IntendedDecoder>,
+    pub(crate) roster: Roster,
+    pub(crate) roster_watch: super::roster_watch::RosterWatch,
+    timers: TimerService<OwnTimer>,
+    is_leaving: bool,
+    reported_free: u32,
+    reported_queue: bool,
+    reported_at: Timestamp,
+}
+
+impl RunDispatcher {
+    /// A dispatcher that knows nothing yet and refuses every job.
+    pub fn new(settings: RunSettings, decoder: Box<dyn IntendedDecoder>) -> Self {
+        let limits = settings.limits;
+        let mut timers = TimerService::default();
+        timers.subscribe(Timestamp::ZERO, OwnTimer::Heartbeat);
+        RunDispatcher {
+            settings,
+            now: Timestamp::ZERO,
+            actions: Vec::new(),
+            home: Home::default(),
+            owner: Owner::new(limits.lease),
+            peers: PeerTable::default(),
+            listing: UpstreamListing::new(limits.relisting),
+            intended: None,
+            intended_body: Bytes::new(),
+            decoder,
+            roster: Roster::default(),
+            roster_watch: super::roster_watch::RosterWatch::default(),
+            timers,
+            is_leaving: false,
+            reported_free: 0,
+            reported_queue: false,
+            reported_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Takes one event and appends what is to be done to `actions`.
+    ///
+    /// `now` must not be earlier than at the call before.
+    pub fn handle(&mut self, now: Timestamp, event: RunEvent, actions: &mut Vec<RunAction>) {
+        self.now = now.max(self.now);
+        self.run_timers();
+        self.take(event);
+        self.settle();
+        self.report_change();
+        actions.append(&mut self.actions);
+    }
+
+    /// When [`RunEvent::Tick`] is due next.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let own = self.timers.next_at();
+        let home = self.home.timers.next_at();
+        let owner = self.owner.timers.next_at();
+        [own, home, owner].into_iter().flatten().min()
+    }
+
+    /// Whether callers may be sent here: the intended state and some upstream in reach are known.
+    pub fn is_ready(&self) -> bool {
+        self.intended.is_some() && !self.is_leaving && self.has_owner_in_reach()
+    }
+
+    /// Whether nothing is open: no job here, no task held for another.
+    pub fn is_idle(&self) -> bool {
+        self.home.is_idle() && self.owner.is_idle()
+    }
+
+    /// A reading of the state, for metrics and pages.
+    pub fn status(&self) -> RunStatus {
+        let upstreams = self.owner.upstreams.values();
+        RunStatus {
+            intended_version: self.intended.as_ref().map_or(0, |state| state.version),
+            roster_version: self.roster.version,
+            leaving: self.is_leaving,
+            ready: self.is_ready(),
+            open_jobs: self.home.jobs.len(),
+            held_batches: self.owner.batches.len(),
+            queued_tasks: self.owner.queued_tasks(),
+            running_tasks: upstreams.clone().map(|upstream| upstream.runs.len()).sum(),
+            owned_upstreams: upstreams.clone().count(),
+            usable_upstreams: upstreams.filter(|upstream| upstream.is_usable()).count(),
+            listed_upstreams: self.listing.iter().count(),
+            peers: self.peers.peers.len(),
+            peers_heard: self
+                .peers
+                .peers
+                .values()
+                .filter(|peer| peer.is_heard(self.now))
+                .count(),
+        }
+    }
+
+    fn has_owner_in_reach(&self) -> bool {
+        let peers = self.peers.peers.values();
+        let mut heard = peers.filter(|peer| peer.is_heard(self.now));
+        let mut own = self.owner.upstreams.values();
+        own.any(|upstream| upstream.is_usable())
+            || heard.any(|peer| !peer.digest.services.is_empty())
+    }
+
+    fn run_timers(&mut self) {
+        self.owner.run_timers(self.now);
+        self.home.run_timers(self.now);
+        while let Some(timer) = self.timers.pop_due(self.now) {
+            match timer {
+                OwnTimer::Heartbeat => self.beat(),
+                OwnTimer::Report => {}
+            }
+        }
+    }
+
+    fn take(&mut self, event: RunEvent) {
+        match event {
+            RunEvent::Requested {
+                request,
+                host,
+                path,
+                ask,
+                wait,
+            } => self.requested(request, &host, &path, ask, wait),
+            RunEvent::RequestDropped { request } => self.home.drop_request(self.now, request),
+            RunEvent::IntendedRead { state, body } => self.install(state, body),
+            RunEvent::UpstreamsListed(changes) => {
+                let gone = self.listing.apply(self.now, changes);
+                self.forget_upstreams(&gone);
+                self.assign_upstreams();
+            }
+            RunEvent::RosterRead(roster) => self.read_roster(roster),
+            RunEvent::StoreRegained => {
+                self.listing.store_regained(self.now);
+                self.roster_watch.store_regained(self.now);
+            }
+            RunEvent::StoreLost => {
+                self.listing.store_lost();
+                self.roster_watch.store_lost();
+            }
+            RunEvent::PeerMessage { sender, message } => self.take_message(&sender, message),
+            RunEvent::PeerNotSent { instance, message } => self.peer_not_sent(&instance, message),
+            RunEvent::OrderAnswered { order, answer } => {
+                self.owner.order_answered(self.now, order, answer);
+            }
+            RunEvent::StopRequested => self.stop(),
+            RunEvent::Tick => {}
+        }
+    }
+
+    fn stop(&mut self) {
+        self.is_leaving = true;
+        self.owner.leave();
+        self.assign_upstreams();
+        self.send_reports();
+    }
+
+    fn install(&mut self, state: Arc<IntendedState>, body: Bytes) {
+        let current = self.intended.as_ref().map_or(0, |state| state.version);
+        if state.version <= current {
+            return;
+        }
+        tracing::info!(
+            version = state.version, before = current, queues = state.queues.len(),
+            "intended state in force"
+        );
+        self.intended = Some(state);
+        self.intended_body = body;
+        self.send_reports();
+    }
+
+    fn forget_upstreams(&mut self, gone: &[Arc<str>]) {
+        for id in gone {
+            tracing::info!(upstream = %id, "upstream gone");
+            self.owner.forget(self.now, id);
+        }
+    }
+
+    fn read_roster(&mut self, roster: Roster) {
+        if roster.version < self.roster.version {
+            return;
+        }
+        self.roster_watch.read(self.now, &roster);
+        let is_same = is_same_membership(&self.roster, &roster);
+        self.roster = roster;
+        let own = self.roster.member(&self.settings.instance);
+        if own.is_none_or(|member| member.incarnation != self.settings.incarnation) {
+            self.actions.push(RunAction::RegisterAgain);
+        }
+        if !is_same {
+            let members = self.roster.members.len();
+            tracing::info!(version = self.roster.version, members, "roster changed");
+            let ended = self.peers.update(&self.roster, &self.settings.instance);
+            for (peer, incarnation) in ended {
+                self.lose_peer(peer, incarnation, self.now);
+            }
+            self.set_peers();
+        }
+        self.assign_upstreams();
+    }
+
+    fn set_peers(&mut self) {
+        let peers = self.peers.peers.values().map(|peer| PeerAddress {
+            name: peer.name.clone(),
+            incarnation: peer.incarnation,
+            data_centre: peer.data_centre.clone(),
+            address: peer.address,
+        });
+        let peers = peers.collect();
+        self.actions.push(RunAction::SetPeers(peers));
+    }
+
+    /// Takes over and lets go of upstreams as the roster and the listing say.
+    pub(crate) fn assign_upstreams(&mut self) {
+        let own = &self.settings.instance;
+        let assigned = super::assignment::assigned_to(own, &self.roster, &self.listing);
+        let assigned = match self.is_leaving {
+            true => Vec::new(),
+            false => assigned,
+        };
+        self.owner.reassign(self.now, &assigned, self.roster.version);
+    }
+
+    fn beat(&mut self) {
+        let next = self.now + HEARTBEAT;
+        self.timers.subscribe(next, OwnTimer::Heartbeat);
+        let gone = self.listing.expire(self.now);
+        if !gone.is_empty() {
+            self.forget_upstreams(&gone);
+            self.assign_upstreams();
+        }
+        self.check_peers();
+        let own = self.settings.instance.clone();
+        let heard = |name: &str| {
+            let peer = self.peers.by_name(name);
+            peer.is_some_and(|peer| self.peers.peers[peer].is_heard(self.now))
+        };
+        let dead = self.roster_watch.dead(self.now, &own, &self.roster, heard);
+        for (name, row_version) in dead {
+            tracing::warn!(instance = %name, row_version, "instance dead: removing it");
+            self.actions.push(RunAction::RemoveMember { name, row_version });
+        }
+        self.reject_unplaceable();
+        self.home.mark_dirty();
+        self.send_reports();
+    }
+
+    /// Gives up what depends on instances that say nothing.
+    fn check_peers(&mut self) {
+        let now = self.now;
+        let silent = self.peers.peers.iter().filter_map(|(key, peer)| {
+            let heard_at = peer.heard_at?;
+            (!peer.is_heard(now)).then_some((key, peer.incarnation, heard_at))
+        });
+        let silent: Vec<(PeerKey, Incarnation, Timestamp)> = silent.collect();
+        for (peer, incarnation, heard_at) in silent {
+            let state = &mut self.peers.peers[peer];
+            state.heard_at = None;
+            tracing::warn!(instance = %state.name, "instance out of reach");
+            self.lose_peer(peer, incarnation, heard_at);
+        }
+        for (peer, incarnation) in self.peers.drop_gone(now) {
+            self.lose_peer(peer, incarnation, now);
+        }
+        for home in self.owner.homes() {
+            let is_known = home == self.settings.incarnation
+                || self.peers.by_incarnation(home).is_some_and(|key| {
+                    self.peers.peers[key].is_heard(now)
+                });
+            if !is_known {
+                self.owner.drop_home(now, home);
+            }
+        }
+    }
+
+    fn lose_peer(&mut self, peer: PeerKey, incarnation: Incarnation, heard_at: Timestamp) {
+        self.home
+            .lose_owner(self.now, OwnerRef::Peer(peer), heard_at);
+        self.owner.drop_home(self.now, incarnation);
+    }
+
+    /// Rejects jobs for which no owner has been in reach.
+    fn reject_unplaceable(&mut self) {
+        let waiting = self.home.jobs.iter();
+        let waiting = waiting.filter(|(_, job)| {
+            let is_overdue = self.now.since(job.accepted_at) >= NO_OWNER_TIME;
+            is_overdue && job.is_waiting() && !job.may_have_run && !job.is_placed()
+        });
+        let overdue: Vec<HomeJobKey> = waiting.map(|(key, _)| key).collect();
+        for key in overdue {
+            let service = self.home.jobs[key].queue.service.clone();
+            if self.views(&service).is_empty() {
+                let why = Unfinished::NotRun(NotRun::NoUpstreamInReach);
+                self.home.end_unfinished(self.now, key, why);
+            }
+        }
+    }
+
+    /// Carries out what home and owner want until neither wants more.
+    fn settle(&mut self) {
+        loop {
+            self.place_waiting();
+            let outputs = std::mem::take(&mut self.home.outputs);
+            self.owner.start_queued(self.now);
+            let notices = std::mem::take(&mut self.owner.notices);
+            if outputs.is_empty() && notices.is_empty() {
+                break;
+            }
+            for output in outputs {
+                self.carry_out(output);
+            }
+            for notice in notices {
+                self.notify(notice);
+            }
+        }
+        self.actions.append(&mut self.owner.actions);
+    }
+
+    fn carry_out(&mut self, output: HomeOutput) {
+        let now = self.now;
+        let own = self.settings.incarnation;
+        match output {
+            HomeOutput::Answer { request, answer } => self.answer(request, answer),
+            HomeOutput::Place { owner, batch } => match owner {
+                OwnerRef::Own => self.owner.place(now, own, batch),
+                OwnerRef::Peer(peer) => self.send(peer, RunMessage::Place(batch)),
+            },
+            HomeOutput::Adopt {
+                owner,
+                upstream,
+                batch,
+            } => match owner {
+                OwnerRef::Own => self.owner.adopt(now, own, &upstream, batch),
+                OwnerRef::Peer(peer) => self.send(peer, RunMessage::Adopt { upstream, batch }),
+            },
+            HomeOutput::Cancel { owner, batches } => match owner {
+                OwnerRef::Own => self.owner.cancel(now, own, &batches),
+                OwnerRef::Peer(peer) => self.send(peer, RunMessage::Cancel { batches }),
+            },
+        }
+    }
+
+    fn notify(&mut self, notice: OwnerNotice) {
+        match notice {
+            OwnerNotice::Ends { home, batch, ends } => {
+                if home == self.settings.incarnation {
+                    return self.home.take_ends(self.now, OwnerRef::Own, ends);
+                }
+                if let Some(peer) = self.peers.by_incarnation(home) {
+                    let digest = self.digest();
+                    let ends = RunEnds {
+                        batch,
+                        ends,
+                        digest,
+                    };
+                    self.send(peer, RunMessage::Ends(ends));
+                }
+            }
+            OwnerNotice::Found {
+                upstream,
+                running,
+                ended,
+            } => {
+                let now = self.now;
+                let own = OwnerRef::Own;
+                self.home.claim_found(now, own, &upstream, &running, &ended);
+                let found = RunMessage::Found {
+                    upstream,
+                    running,
+                    ended,
+                };
+                self.broadcast(&found);
+            }
+        }
+    }
+
+    fn broadcast(&mut self, message: &RunMessage) {
+        let peers: Vec<PeerKey> = self.peers.peers.keys().collect();
+        for peer in peers {
+            self.send(peer, message.clone());
+        }
+    }
+
+    pub(crate) fn send(&mut self, peer: PeerKey, message: RunMessage) {
+        let Some(peer) = self.peers.peers.get(peer) else {
+            return;
+        };
+        self.actions.push(RunAction::SendPeer {
+            instance: peer.name.clone(),
+            message: TimedRunMessage {
+                sent_at: self.now,
+                echo: peer.echo(self.now),
+                message,
+            },
+        });
+    }
+
+    pub(crate) fn answer(&mut self, request: RequestId, answer: RunAnswer) {
+        self.actions.push(RunAction::Answer { request, answer });
+    }
+
+    fn take_message(&mut self, sender: &PeerIdentity, timed: TimedRunMessage) {
+        let mut replaced = None;
+        let (sent_at, echo) = (timed.sent_at, timed.echo);
+        let noted = self
+            .peers
+            .note_message(self.now, sender, sent_at, echo, &mut replaced);
+        if let Some((peer, incarnation)) = replaced {
+            self.lose_peer(peer, incarnation, self.now);
+        }
+        let Some((peer, freshness)) = noted else {
+            return;
+        };
+        let is_fresh = freshness == Freshness::Fresh;
+        let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
+        match timed.message {
+            RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, batch),
+            RunMessage::Place(batch) => self.owner.refuse_stale(now, home, batch),
+            RunMessage::Adopt { upstream, batch } => {
+                self.owner.adopt(now, home, &upstream, batch);
+            }
+            RunMessage::Ends(ends) => {
+                self.take_digest(peer, ends.digest);
+                self.home.take_ends(now, owner, ends.ends);
+            }
+            RunMessage::Cancel { batches } => self.owner.cancel(now, home, &batches),
+            RunMessage::Found {
+                upstream,
+                running,
+                ended,
+            } => self.home.claim_found(now, owner, &upstream, &running, &ended),
+            RunMessage::Report(report) if is_fresh => self.take_report(peer, home, report),
+            RunMessage::Report(_) => {}
+            RunMessage::CancelJob { job } => {
+                self.home.cancel(now, job);
+            }
+            RunMessage::IntendedRequest { have_version } => {
+                self.send_intended(peer, have_version);
+            }
+            RunMessage::IntendedBody { body, .. } => self.take_intended(body),
+        }
+    }
+
+    fn take_report(&mut self, peer: PeerKey, home: Incarnation, report: PeerReport) {
+        let owner = OwnerRef::Peer(peer);
+        self.take_digest(peer, report.digest);
+        self.owner
+            .keep_only(self.now, home, &report.open, report.highest_sent);
+        self.home
+            .compare_held(self.now, owner, &report.held, report.highest_taken);
+    }
+
+    fn take_digest(&mut self, peer: PeerKey, digest: RunDigest) {
+        let own_version = self.intended.as_ref().map_or(0, |state| state.version);
+        if digest.intended_version > own_version {
+            let request = RunMessage::IntendedRequest {
+                have_version: own_version,
+            };
+            self.send(peer, request);
+        }
+        self.peers.peers[peer].digest = digest;
+    }
+
+    fn send_intended(&mut self, peer: PeerKey, have_version: u64) {
+        let Some(state) = &self.intended else {
+            return;
+        };
+        if state.version <= have_version {
+            return;
+        }
+        let message = RunMessage::IntendedBody {
+            version: state.version,
+            body: self.intended_body.clone(),
+        };
+        self.send(peer, message);
+    }
+
+    fn take_intended(&mut self, body: Bytes) {
+        match self.decoder.decode(&body) {
+            Some(state) => self.install(Arc::new(state), body),
+            None => tracing::warn!(bytes = body.len(), "passed-on intended state is not valid"),
+        }
+    }
+
+    fn peer_not_sent(&mut self, instance: &str, message: TimedRunMessage) {
+        let Some(peer) = self.peers.by_name(instance) else {
+            return;
+        };
+        if let RunMessage::Place(batch) = message.message {
+            let number = batch.number;
+            self.home
+                .take_unsent(self.now, OwnerRef::Peer(peer), number);
+            self.peers.peers[peer].digest.services.clear();
+        }
+    }
+
+    /// This instance's load.
+    fn digest(&self) -> RunDigest {
+        RunDigest {
+            services: self.owner.loads(self.now),
+            waiting: self.home.waiting(),
+            intended_version: self.intended.as_ref().map_or(0, |state| state.version),
+            leaving: self.is_leaving,
+        }
+    }
+
+    fn send_reports(&mut self) {
+        let digest = self.digest();
+        self.note_reported(&digest);
+        let peers: Vec<(PeerKey, Incarnation)> = self
+            .peers
+            .peers
+            .iter()
+            .map(|(key, peer)| (key, peer.incarnation))
+            .collect();
+        for (peer, incarnation) in peers {
+            let (held, highest_taken) = self.owner.held_of(incarnation);
+            let report = PeerReport {
+                digest: digest.clone(),
+                held,
+                highest_taken,
+                open: self.home.open_at(OwnerRef::Peer(peer)),
+                highest_sent: self.home.highest_batch(),
+            };
+            self.send(peer, RunMessage::Report(report));
+        }
+    }
+
+    fn note_reported(&mut self, digest: &RunDigest) {
+        self.reported_at = self.now;
+        (self.reported_free, self.reported_queue) = measure(digest);
+    }
+
+    /// Sends a report when the load has changed by much since the last.
+    fn report_change(&mut self) {
+        let digest = self.digest();
+        let (free, has_queue) = measure(&digest);
+        let total = digest.services.iter().map(|load| load.total.cpu_millicores);
+        let total = total.fold(0, u32::saturating_add);
+        let step = (total / REPORTED_SHARE).max(1);
+        if free.abs_diff(self.reported_free) < step && has_queue == self.reported_queue {
+            return;
+        }
+        let due = self.reported_at + REPORT_GAP;
+        if due > self.now {
+            if self.timers.next_at().is_none_or(|next| next > due) {
+                self.timers.subscribe(due, OwnTimer::Report);
+            }
+            return;
+        }
+        self.send_reports();
+    }
+
+    /// The owners of a service's upstreams that take work now.
+    pub(crate) fn views(&self, service: &str) -> Vec<OwnerView> {
+        let mut views = Vec::new();
+        let own_loads = self.owner.loads(self.now);
+        for load in own_loads.iter().filter(|load| &*load.service == service) {
+            views.push(OwnerView::new(OwnerRef::Own, Distance::Own, load));
+        }
+        for (key, peer) in &self.peers.peers {
+            let Some(load) = peer.load(self.now, service) else {
+                continue;
+            };
+            let distance = match peer.data_centre == self.settings.data_centre {
+                true => Distance::SameDataCentre,
+                false => Distance::Elsewhere,
+            };
+            views.push(OwnerView::new(OwnerRef::Peer(key), distance, load));
+        }
+        views
+    }
+
+    /// Hands waiting tasks to owners, those of the most pressing jobs first.
+    fn place_waiting(&mut self) {
+        if !self.home.take_dirty() {
+            return;
+        }
+        let jobs = self.home.jobs.iter();
+        let waiting = jobs.filter(|(_, job)| job.ending.is_none() && job.is_waiting());
+        let mut waiting: Vec<(Timestamp, HomeJobKey)> =
+            waiting.map(|(key, job)| (job.objective_at, key)).collect();
+        waiting.sort_unstable();
+        let mut views: IndexMap<Arc<str>, Vec<OwnerView>> = IndexMap::new();
+        for (_, key) in waiting {
+            let service = self.home.jobs[key].queue.service.clone();
+            let of_service = match views.get_mut(&service) {
+                Some(of_service) => of_service,
+                None => {
+                    let of_service = self.views(&service);
+                    views.entry(service).or_insert(of_service)
+                }
+            };
+            place_job(&mut self.home, self.now, key, of_service);
+        }
+    }
+}
+
+/// Hands the waiting tasks of a job to owners.
+fn place_job(home: &mut Home, now: Timestamp, key: HomeJobKey, views: &mut [OwnerView]) {
+    let job = &home.jobs[key];
+    let mut chosen: IndexMap<OwnerRef, Vec<usize>> = IndexMap::new();
+    for (index, task) in job.tasks.iter().enumerate() {
+        if task.state != HomeState::Waiting {
+            continue;
+        }
+        let step = task.step as usize;
+        let room = job.spec.steps[step].room;
+        if let Some(choice) = choose_owner(views, room, job.expected_runs[step]) {
+            let owner = views[choice.view].owner;
+            chosen.entry(owner).or_default().push(index);
+        }
+    }
+    for (owner, tasks) in chosen {
+        let batch = home.batch_of(now, key, owner, &tasks);
+        tracing::info!(
+            job = %batch.job, ?owner, batch = batch.number, tasks = tasks.len(), "tasks placed"
+        );
+        home.outputs.push(HomeOutput::Place { owner, batch });
+    }
+}
+
+fn is_same_membership(left: &Roster, right: &Roster) -> bool {
+    let facts = |roster: &Roster| {
+        let members = roster.members.iter();
+        let facts = members.map(|member| {
+            let name = member.name.clone();
+            (name, member.incarnation, member.leaving, member.peer_address)
+        });
+        facts.collect::<Vec<_>>()
+    };
+    facts(left) == facts(right)
+}
+
+/// The free processor of a load in thousandths of a core, and whether tasks wait.
+fn measure(digest: &RunDigest) -> (u32, bool) {
+    let free = digest.services.iter().flat_map(|load| &load.free);
+    let free = free.map(|room| room.cpu_millicores);
+    let has_queue = digest.services.iter().any(|load| load.queued_tasks > 0);
+    (free.fold(0, u32::saturating_add), has_queue)
+}
+
+/// What a caller's request leads to.
+impl RunDispatcher {
+    fn requested(
+        &mut self,
+        request: RequestId,
+        host: &str,
+        path: &str,
+        ask: Ask,
+        wait: Option<Duration>,
+    ) {
+        let answer = match self.intended.clone() {
+            None => Some(not_run(NotRun::NoIntendedState, Some(Duration::from_secs(1)))),
+            Some(intended) => match intended.target(host, path) {
+                None => Some(RunAnswer::NoSuchQueue),
+                Some(target) => match ask {
+                    Ask::Submit(spec) => self.submit(request, &intended, &target, spec, wait),
+                    Ask::Look => Some(self.look(&target)),
+                    Ask::Cancel => Some(self.cancel(&target)),
+                },
+            },
+        };
+        if let Some(answer) = answer {
+            if !matches!(answer, RunAnswer::Waiting(_) | RunAnswer::State(_)) {
+                let version = self.intended.as_ref().map_or(0, |state| state.version);
+                tracing::info!(path, version, ?answer, "request answered at once");
+            }
+            self.answer(request, answer);
+        }
+    }
+
+    fn look(&self, target: &super::intended_state::Target<'_>) -> RunAnswer {
+        if let Some(job) = target.job() {
+            return self.home.look_up(job).unwrap_or(RunAnswer::NoSuchJob);
+        }
+        if !target.rest.is_empty() {
+            return RunAnswer::NoSuchJob;
+        }
+        let own = self.home.waiting();
+        let peers = self.peers.peers.values();
+        let heard = peers.filter(|peer| peer.is_heard(self.now));
+        let theirs = heard.flat_map(|peer| &peer.digest.waiting);
+        let of_queue = own.iter().chain(theirs);
+        let of_queue = of_queue.filter(|waiting| waiting.queue == target.queue.name);
+        RunAnswer::Waiting(of_queue.map(|waiting| waiting.jobs).sum())
+    }
+
+    fn cancel(&mut self, target: &super::intended_state::Target<'_>) -> RunAnswer {
+        let Some(job) = target.job() else {
+            return RunAnswer::NoSuchJob;
+        };
+        if self.home.cancel(self.now, job) {
+            return RunAnswer::Cancelled;
+        }
+        self.broadcast(&RunMessage::CancelJob { job });
+        RunAnswer::NoSuchJob
+    }
+}
+
+pub(crate) fn not_run(reason: NotRun, retry_after: Option<Duration>) -> RunAnswer {
+    RunAnswer::NotRun {
+        reason,
+        retry_after,
+    }
+}
+
+/// A reading of a dispatcher's state.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunStatus {
+    /// The version of the intended state, zero when none.
+    pub intended_version: u64,
+    /// The version of the roster.
+    pub roster_version: u64,
+    /// Whether the instance was asked to stop.
+    pub leaving: bool,
+    /// Whether callers may be sent here.
+    pub ready: bool,
+    /// Jobs whose home this is.
+    pub open_jobs: usize,
+    /// Batches held for homes.
+    pub held_batches: usize,
+    /// Tasks that wait for room.
+    pub queued_tasks: usize,
+    /// Tasks that run on owned upstreams.
+    pub running_tasks: usize,
+    /// Upstreams that this instance owns.
+    pub owned_upstreams: usize,
+    /// Those of them that take tasks.
+    pub usable_upstreams: usize,
+    /// Upstreams that are listed.
+    pub listed_upstreams: usize,
+    /// Other instances known.
+    pub peers: usize,
+    /// Those of them that spoke lately.
+    pub peers_heard: usize,
+}
