--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -55,10 +55,8 @@
 /// still send, and a balancer needs two looks a second apart to notice.
 const QUIET: Duration = Duration::from_millis(400);
 
-/// How long after the notice to stop a process ends whatever is open.
-///
-/// The platform kills it 6 s after the notice.
-const STOP_BY: Duration = Duration::from_millis(5_200);
+/// How much of its grace a stopping process leaves for taking its parts down.
+const TAKING_DOWN: Duration = Duration::from_millis(800);
 
 /// How long the last calls to the store of a stopping process may take.
 const LAST_CALLS: Duration = Duration::from_millis(300);
@@ -77,6 +75,7 @@
 struct RunProcess {
     handle: RunHandle,
     stopping: Stopping,
+    grace: Duration,
     leave: async_channel::Sender<()>,
     left: Receiver<()>,
 }
@@ -166,6 +165,7 @@
         Ok(RunProcess {
             handle,
             stopping,
+            grace: Duration::from_millis(leased.stop_grace_ms),
             leave,
             left,
         })
@@ -176,10 +176,11 @@
         let asked_at = Instant::now();
         tracing::info!("stopping");
         self.stopping.set();
-        self.handle.send(RunEvent::StopRequested);
+        let grace = self.grace.saturating_sub(TAKING_DOWN);
+        self.handle.send(RunEvent::StopRequested { grace });
         self.leave.send(()).await.ok();
         let mut quiet_since = Instant::now();
-        while asked_at.elapsed() < STOP_BY && quiet_since.elapsed() < QUIET {
+        while asked_at.elapsed() < grace && quiet_since.elapsed() < QUIET {
             let status = self.handle.status().await;
             if status.is_none_or(|status| !status.is_idle) {
                 quiet_since = Instant::now();
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -60,6 +60,8 @@
     /// How long upstreams keep running what nobody holds, in milliseconds: the longest lease that
     /// they grant.
     pub lease_ms: u64,
+    /// How long a process that is asked to stop may take before it is killed, in milliseconds.
+    pub stop_grace_ms: u64,
 }
 
 /// Where spans are written, one JSON object a line.
@@ -223,6 +225,7 @@
     let leased_runs = LeasedRuns {
         ready_address: reader.address("ready_address"),
         lease_ms: reader.number("lease_ms", 100..=60_000, 1_000),
+        stop_grace_ms: reader.number("stop_grace_ms", 1_000..=600_000, 6_000),
     };
     problems.extend(reader.finish());
     Some(leased_runs)
--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -300,6 +300,7 @@
             }
             RunEnd::Lost { upstream } => End::LostOn(upstream.to_string()),
             RunEnd::TakenOver => End::TakenOver(proto::TakenOver {}),
+            RunEnd::TooLong => End::TooLong(proto::TooLong {}),
         };
         proto::RunEnd {
             run: Some(end.run.into()),
@@ -324,6 +325,7 @@
                 upstream: name("ends.lost_on", upstream)?,
             },
             End::TakenOver(proto::TakenOver {}) => RunEnd::TakenOver,
+            End::TooLong(proto::TooLong {}) => RunEnd::TooLong,
         };
         Ok(TaskEnd {
             run: required("ends.run", end.run)?.try_into()?,
--- a/lib/src/peer_codec/run_load.rs
+++ b/lib/src/peer_codec/run_load.rs
@@ -8,6 +8,7 @@
 use crate::peer_codec::field::required;
 use crate::peer_proto as proto;
 use crate::runs::resources::Resources;
+use crate::runs::run_digest::FreeUpstream;
 use crate::runs::run_digest::RunDigest;
 use crate::runs::run_digest::RunLoad;
 use crate::runs::run_digest::WaitingJobs;
@@ -88,12 +89,33 @@
 
     fn try_from(load: proto::RunLoad) -> Result<Self, DecodeError> {
         let free = bounded("digest.services.free", load.free, MAX_TASKS)?;
+        let free = free.into_iter().map(TryInto::try_into);
         Ok(RunLoad {
             service: name("digest.services.service", load.service)?,
-            free: free.into_iter().map(Into::into).collect(),
+            free: free.collect::<Result<_, _>>()?,
             total: required("digest.services.total", load.total)?.into(),
             queued_core_ms: load.queued_core_ms,
             queued_tasks: load.queued_tasks,
         })
     }
 }
+
+impl From<FreeUpstream> for proto::FreeUpstream {
+    fn from(free: FreeUpstream) -> Self {
+        proto::FreeUpstream {
+            room: Some(free.room.into()),
+            slowness_percent: free.slowness_percent,
+        }
+    }
+}
+
+impl TryFrom<proto::FreeUpstream> for FreeUpstream {
+    type Error = DecodeError;
+
+    fn try_from(free: proto::FreeUpstream) -> Result<Self, DecodeError> {
+        Ok(FreeUpstream {
+            room: required("digest.services.free.room", free.room)?.into(),
+            slowness_percent: free.slowness_percent,
+        })
+    }
+}
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -591,7 +591,7 @@
     #[prost(message, optional, tag = "1")]
     pub run: ::core::option::Option<RunId>,
     /// The ways to end.
-    #[prost(oneof = "run_end::End", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "run_end::End", tags = "2, 3, 4, 5, 6, 7")]
     pub end: ::core::option::Option<run_end::End>,
 }
 /// Nested message and enum types in `RunEnd`.
@@ -614,11 +614,17 @@
         /// Another instance has taken over its upstream.
         #[prost(message, tag = "6")]
         TakenOver(super::TakenOver),
+        /// It would end too late, and is stopped.
+        #[prost(message, tag = "7")]
+        TooLong(super::TooLong),
     }
 }
 /// Another instance has taken over the upstream.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TakenOver {}
+/// The run would end too late.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TooLong {}
 /// Stop what is left of some batches.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CancelRuns {
@@ -693,9 +699,9 @@
     /// The service.
     #[prost(string, tag = "1")]
     pub service: ::prost::alloc::string::String,
-    /// What is free on each upstream that takes tasks.
+    /// Each upstream that takes tasks.
     #[prost(message, repeated, tag = "2")]
-    pub free: ::prost::alloc::vec::Vec<Resources>,
+    pub free: ::prost::alloc::vec::Vec<FreeUpstream>,
     /// What all upstreams in reach have.
     #[prost(message, optional, tag = "3")]
     pub total: ::core::option::Option<Resources>,
@@ -706,6 +712,16 @@
     #[prost(uint32, tag = "5")]
     pub queued_tasks: u32,
 }
+/// An upstream that takes tasks.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FreeUpstream {
+    /// What no run uses.
+    #[prost(message, optional, tag = "1")]
+    pub room: ::core::option::Option<Resources>,
+    /// The measured run times there over the expected ones, in hundredths.
+    #[prost(uint32, tag = "2")]
+    pub slowness_percent: u32,
+}
 /// Jobs of one queue that wait.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WaitingJobs {
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -34,3 +34,4 @@
 pub mod upstream_choice;
 pub mod upstream_clock;
 mod upstream_listing;
+mod whole_ms;
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -15,6 +15,7 @@
 use super::run_dispatcher::not_run;
 use super::spread::OwnerView;
 use super::spread::choose_owner;
+use super::upstream_choice::SeekingTask;
 use crate::id::RequestId;
 
 /// The share of its expected chain that a job needs at the least.
@@ -52,6 +53,9 @@
         let limits = self.settings.limits;
         let wait = wait.unwrap_or(limits.default_timeout);
         let wait = queue.timeout.map_or(wait, |timeout| timeout.min(wait));
+        if self.exits_at.is_some_and(|at| self.now + wait > at) {
+            return Some(not_run(NotRun::Stopping, Some(MIN_RETRY_AFTER)));
+        }
         let expected = self.home.expected_runs(&queue.name, &spec);
         let mut views = self.views(&queue.service);
         if let Err(refusal) = check_load(&mut views, &spec, &expected, wait) {
@@ -96,7 +100,11 @@
             continue;
         }
         for _ in 0..step.tasks {
-            if let Some(choice) = choose_owner(views, step.room, *run) {
+            let seeking = SeekingTask {
+                expected_run: *run,
+                objective_left: wait,
+            };
+            if let Some(choice) = choose_owner(views, step.room, &seeking) {
                 longest_wait = longest_wait.max(choice.wait);
             }
         }
--- a/lib/src/runs/event.rs
+++ b/lib/src/runs/event.rs
@@ -72,8 +72,11 @@
         /// What came back.
         answer: OrderAnswer,
     },
-    /// This process was asked to stop: finish what runs, take no new jobs.
-    StopRequested,
+    /// This process was asked to stop: finish what runs, own nothing new.
+    StopRequested {
+        /// How long it may take.
+        grace: Duration,
+    },
     /// A time that the dispatcher named has come.
     Tick,
 }
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -11,6 +11,7 @@
 use super::run_message::RunBatch;
 use super::run_message::StepDemand;
 use super::run_message::TaskEnd;
+use super::whole_ms::whole_ms;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
 
@@ -103,6 +104,13 @@
         Timestamp::ZERO + left.saturating_sub(expected.mul_f64(FASTEST_RUN))
     }
 
+    /// How long until the job is to end, zero once that has passed.
+    pub(crate) fn objective_left(&self, now: Timestamp) -> Duration {
+        let now_us = i64::try_from(now.as_us()).unwrap_or(i64::MAX);
+        let left_us = self.objective_at_us.saturating_sub(now_us);
+        Duration::from_micros(u64::try_from(left_us).unwrap_or(0))
+    }
+
     /// The expected work of a task in milliseconds of one core.
     pub(crate) fn core_ms(&self, task: TaskIndex) -> u64 {
         let demand = self.demand(task);
@@ -117,8 +125,7 @@
 
 /// The work of a task in milliseconds of one core.
 pub(crate) fn core_ms(cpu_millicores: u32, run: Duration) -> u64 {
-    let run_ms = u64::try_from(run.as_millis()).unwrap_or(u64::MAX);
-    u64::from(cpu_millicores).saturating_mul(run_ms) / 1_000
+    u64::from(cpu_millicores).saturating_mul(whole_ms(run)) / 1_000
 }
 
 /// The run of a placed task.
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -27,6 +27,7 @@
 use super::run_message::RunEnd;
 use super::run_message::TaskEnd;
 use super::spread::OwnerRef;
+use super::whole_ms::whole_ms;
 use crate::id::RequestId;
 use crate::run_estimate::RunEstimate;
 use crate::time::Timestamp;
@@ -266,6 +267,9 @@
                 self.start_over(now, key, task);
             }
             RunEnd::TakenOver => self.set_adrift(now, key, task, now),
+            RunEnd::TooLong => {
+                self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
+            }
         }
         self.close_empty_batches(key);
     }
@@ -733,7 +737,7 @@
 }
 
 fn log_end(now: Timestamp, job: &HomeJob, outcome: &str) {
-    let took_ms = now.since(job.accepted_at).as_millis();
+    let took_ms = whole_ms(now.since(job.accepted_at));
     let is_late = now > job.objective_at;
     tracing::info!(
         job = %job.id, queue = %job.queue.name, outcome, took_ms, is_late,
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -15,6 +15,17 @@
 /// Reports come every 250 ms; two in a row must show the same.
 const STALLED_AFTER: Duration = Duration::from_millis(400);
 
+/// The progress from which a prediction is made: below it, rounding says as much as progress.
+const LEAST_PROGRESS_PERCENT: u8 = 3;
+
+/// How much longer than expected a run must take to say that its upstream has become slow:
+/// declared run times are off by two fifths, so a run three times as long is rarely sound.
+const CRAWLING_FACTOR: u32 = 3;
+
+/// What a run must have left at least, beyond a new one's run time, to be started over elsewhere:
+/// a stop takes up to 50 ms.
+const CRAWLING_LEFT: Duration = Duration::from_millis(80);
+
 /// A run that was ordered and has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct LeasedRun {
@@ -61,6 +72,12 @@
     /// It makes no progress.
     #[display("stalled")]
     Stalled,
+    /// Its upstream has become slow.
+    #[display("crawling")]
+    Crawling,
+    /// It would end after its caller has left.
+    #[display("too_long")]
+    TooLong,
     /// Its start was not answered and it is not listed.
     #[display("uncertain")]
     Uncertain,
@@ -98,6 +115,30 @@
         }
     }
 
+    /// When it will end if it goes on as before; none before it shows progress.
+    pub(crate) fn predicted_end(&self, now: Timestamp) -> Option<Timestamp> {
+        if self.percent < LEAST_PROGRESS_PERCENT {
+            return None;
+        }
+        let elapsed = now.since(self.ordered_at);
+        // The percentage is rounded down.
+        let whole = elapsed * 100 / (u32::from(self.percent) + 1);
+        Some(self.ordered_at + whole)
+    }
+
+    /// Whether it goes so slowly that its upstream must have become slow.
+    pub(crate) fn is_crawling(&self, now: Timestamp) -> bool {
+        let RunPhase::Active { .. } = self.phase else {
+            return false;
+        };
+        let Some(end) = self.predicted_end(now) else {
+            return false;
+        };
+        let left = end.since(now);
+        let whole = end.since(self.ordered_at);
+        whole > self.expected_run * CRAWLING_FACTOR && left > self.expected_run + CRAWLING_LEFT
+    }
+
     /// Whether it has made no progress for longer than a sound run could.
     pub(crate) fn is_stalled(&self, now: Timestamp) -> bool {
         let RunPhase::Active { .. } = self.phase else {
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -10,11 +10,16 @@
 use super::resources::Resources;
 use super::run_id::RunId;
 use super::upstream_clock::UpstreamClock;
+use super::whole_ms::whole_ms;
 use crate::health::UpstreamHealth;
 use crate::time::Timestamp;
 
-/// The weight of one run in the learned slowness.
-const SLOWNESS_WEIGHT: f64 = 0.1;
+/// The least weight of one run in the learned slowness: declared run times are off by two fifths,
+/// which a mean over twenty runs brings below a tenth.
+const SLOWNESS_WEIGHT: f64 = 0.05;
+
+/// How many runs of usual speed an upstream is believed to have had at first.
+const PRIOR_RUNS: f64 = 4.0;
 
 /// The bounds of one run's share in the learned slowness, so that one odd run says little.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 8.0);
@@ -56,6 +61,8 @@
     pub(crate) strays: IndexMap<RunId, Stray>,
     pub(crate) health: UpstreamHealth,
     pub(crate) slowness: f64,
+    /// The runs behind `slowness`.
+    measured_runs: f64,
     /// Whether a hold is under way.
     pub(crate) is_held: bool,
 }
@@ -75,6 +82,7 @@
             strays: IndexMap::new(),
             health: UpstreamHealth::default(),
             slowness: 1.0,
+            measured_runs: 0.0,
             is_held: false,
         }
     }
@@ -111,12 +119,16 @@
 
     /// The time on its clock until which an order of now may let it run; the lease grows with it.
     pub(crate) fn extend_lease(&mut self, now: Timestamp, lease: Duration) -> Option<u64> {
-        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
-        let until_ms = self.clock?.estimate_ms(now).saturating_add(lease_ms);
+        let until_ms = self.clock?.estimate_ms(now).saturating_add(whole_ms(lease));
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
         Some(until_ms)
     }
 
+    /// The slowness in hundredths.
+    pub(crate) fn slowness_percent(&self) -> u32 {
+        (self.slowness * 100.0).round() as u32
+    }
+
     /// Learns from a run that is done.
     pub(crate) fn record_run(&mut self, expected: Duration, took: Duration) {
         if expected.is_zero() {
@@ -125,6 +137,8 @@
         let ratio = took.as_secs_f64() / expected.as_secs_f64();
         let (least, most) = SLOWNESS_BOUNDS;
         let ratio = ratio.clamp(least, most);
-        self.slowness = self.slowness.powf(1.0 - SLOWNESS_WEIGHT) * ratio.powf(SLOWNESS_WEIGHT);
+        self.measured_runs += 1.0;
+        let weight = (1.0 / (self.measured_runs + PRIOR_RUNS)).max(SLOWNESS_WEIGHT);
+        self.slowness = self.slowness.powf(1.0 - weight) * ratio.powf(weight);
     }
 }
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -19,6 +19,7 @@
 use super::listed_upstream::ListedUpstream;
 use super::resources::Resources;
 use super::run_action::RunAction;
+use super::run_digest::FreeUpstream;
 use super::run_digest::RunLoad;
 use super::run_id::HeldBatchKey;
 use super::run_id::LeasedUpstreamKey;
@@ -31,9 +32,11 @@
 use super::run_message::TaskEnd;
 use super::run_order::AddressedOrder;
 use super::run_order::RunOrder;
-use super::upstream_choice::FastestThenFullest;
 use super::upstream_choice::RoomyUpstream;
+use super::upstream_choice::SeekingTask;
+use super::upstream_choice::SlowestInTime;
 use super::upstream_choice::UpstreamChoice;
+use super::whole_ms::whole_ms;
 use crate::ejection_gate::EjectionGate;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
@@ -128,7 +131,7 @@
             next_order: 1,
             lost: IndexMap::new(),
             order: Box::new(LeastSlack),
-            choice: Box::new(FastestThenFullest),
+            choice: Box::new(SlowestInTime),
             timers: TimerService::default(),
             actions: Vec::new(),
             notices: Vec::new(),
@@ -213,13 +216,11 @@
         Some(upstream)
     }
 
-    /// Forgets an upstream that is gone, with all that ran there.
-    pub(crate) fn forget(&mut self, now: Timestamp, id: &str) {
-        let Some(key) = self.by_id.get(id).copied() else {
-            return;
-        };
-        self.lose_runs(now, key, "upstream_gone");
-        self.remove(key);
+    /// Gives an upstream no more work that is listed no more; what it still runs is followed.
+    pub(crate) fn forget(&mut self, id: &str) {
+        if let Some(key) = self.by_id.get(id).copied() {
+            self.release(key);
+        }
     }
 
     /// Takes tasks for a home, or reports that they will not start.
@@ -533,11 +534,17 @@
             candidates.push(RoomyUpstream {
                 avoided: avoid.contains(&upstream.listed.id),
                 far_from_data: rack.is_some_and(|rack| !upstream.has_label(rack)),
-                slowness: upstream.slowness,
+                slowness_percent: upstream.slowness_percent(),
                 left_millicores: free.minus(demand.room).cpu_millicores,
+                distance: 0,
             });
         }
-        self.choice.choose(&candidates).map(|index| keys[index])
+        let seeking = SeekingTask {
+            expected_run: demand.expected_run,
+            objective_left: batch.objective_left(now),
+        };
+        let chosen = self.choice.choose(&seeking, &candidates);
+        chosen.map(|index| keys[index])
     }
 
     /// Whether one more task of the step may run on the upstream.
@@ -564,7 +571,7 @@
         let demand = batch.demand(task);
         let (room, expected) = (demand.room, demand.expected_run);
         let spec = batch.spec.clone();
-        let waited_ms = now.since(batch.taken_at).as_millis();
+        let waited_ms = whole_ms(now.since(batch.taken_at));
         batch.tasks[task].state = HeldState::Running(on);
         let lease = self.lease;
         let upstream = &mut self.upstreams[on];
@@ -575,9 +582,10 @@
         let leased = LeasedRun::starting((key, task), room, expected, now);
         upstream.runs.insert(run, leased);
         let fence = upstream.fence;
+        let slowness_percent = upstream.slowness_percent();
         tracing::info!(
             job = %run.task.job, run = %run, upstream = %upstream.listed.id, fence, waited_ms,
-            expected_ms = expected.as_millis(), free_millicores = upstream.free().cpu_millicores,
+            expected_ms = whole_ms(expected), slowness_percent, free_millicores = upstream.free().cpu_millicores,
             "run ordered"
         );
         let order = RunOrder::Start {
@@ -668,7 +676,10 @@
             });
             load.total += upstream.listed.room;
             if upstream.takes_work(now) {
-                load.free.push(upstream.free());
+                load.free.push(FreeUpstream {
+                    room: upstream.free(),
+                    slowness_percent: upstream.slowness_percent(),
+                });
             }
         }
         for (key, task) in &self.queue {
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::leased_run::LeasedRun;
 use super::leased_run::RunPhase;
 use super::leased_run::StopReason;
 use super::leased_upstream::Contact;
@@ -24,6 +25,7 @@
 use super::run_order::RunOrder;
 use super::run_order::RunningRow;
 use super::upstream_clock::UpstreamClock;
+use super::whole_ms::whole_ms;
 use crate::health::HealthChange;
 use crate::time::Timestamp;
 
@@ -385,7 +387,7 @@
         let took = now.since(leased.ordered_at);
         tracing::info!(
             job = %run.task.job, run = %run, upstream = %id, how = %how,
-            took_ms = took.as_millis(), expected_ms = leased.expected_run.as_millis(),
+            took_ms = whole_ms(took), expected_ms = whole_ms(leased.expected_run),
             "run ended"
         );
         let end = match how {
@@ -418,14 +420,16 @@
         sent_at: Timestamp,
         running: &[RunningRow],
     ) {
-        let mut stalled = Vec::new();
+        let mut hopeless = Vec::new();
         let upstream = &mut self.upstreams[on];
         for row in running {
             match upstream.runs.get_mut(&row.run) {
                 Some(leased) => {
                     leased.note_running(now, row.percent);
-                    if leased.is_stalled(now) {
-                        stalled.push(row.run);
+                    let deadline = leased.task.and_then(|(batch, _)| self.batches.get(batch));
+                    let deadline = deadline.map(|batch| batch.deadline);
+                    if let Some(reason) = reason_to_stop(leased, now, deadline) {
+                        hopeless.push((row.run, reason));
                     }
                 }
                 None => {
@@ -441,9 +445,30 @@
         upstream
             .strays
             .retain(|run, stray| is_listed(run) || stray.found_at > sent_at);
-        for run in stalled {
+        for (run, reason) in hopeless {
+            self.stop_hopeless(now, on, run, reason);
+        }
+    }
+
+    fn stop_hopeless(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        run: RunId,
+        reason: StopReason,
+    ) {
+        if reason == StopReason::Stalled {
             self.count_failure(now, on);
-            self.stop(now, on, run, StopReason::Stalled);
+        }
+        let leased = self.upstreams[on].runs.get_mut(&run);
+        let task = match reason {
+            // Its home needs no word of its end any more.
+            StopReason::TooLong => leased.and_then(|leased| leased.task.take()),
+            _ => None,
+        };
+        self.stop(now, on, run, reason);
+        if let Some((key, task)) = task {
+            self.report(key, task, RunEnd::TooLong);
         }
     }
 
@@ -681,3 +706,22 @@
     }
 }
 
+
+/// Why a run that is listed should be stopped.
+fn reason_to_stop(
+    leased: &LeasedRun,
+    now: Timestamp,
+    deadline: Option<Timestamp>,
+) -> Option<StopReason> {
+    if leased.is_stalled(now) {
+        return Some(StopReason::Stalled);
+    }
+    if leased.is_crawling(now) {
+        return Some(StopReason::Crawling);
+    }
+    let RunPhase::Active { .. } = leased.phase else {
+        return None;
+    };
+    let end = leased.predicted_end(now)?;
+    (end > deadline?).then_some(StopReason::TooLong)
+}
--- a/lib/src/runs/run_digest.rs
+++ b/lib/src/runs/run_digest.rs
@@ -25,8 +25,8 @@
 pub struct RunLoad {
     /// The service.
     pub service: Arc<str>,
-    /// The free room of each upstream that takes tasks now.
-    pub free: Vec<Resources>,
+    /// Each upstream that takes tasks now.
+    pub free: Vec<FreeUpstream>,
     /// The room of all upstreams in reach, used or free.
     pub total: Resources,
     /// The work that waits here, in milliseconds of one core.
@@ -35,6 +35,16 @@
     pub queued_tasks: u32,
 }
 
+/// An upstream that takes tasks now.
+#[value]
+#[derive(Copy)]
+pub struct FreeUpstream {
+    /// What no run uses.
+    pub room: Resources,
+    /// The measured run times there over the expected ones, in hundredths.
+    pub slowness_percent: u32,
+}
+
 /// Jobs of one queue that wait.
 #[value]
 pub struct WaitingJobs {
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -35,6 +35,7 @@
 use super::spread::OwnerRef;
 use super::spread::OwnerView;
 use super::spread::choose_owner;
+use super::upstream_choice::SeekingTask;
 use super::upstream_listing::UpstreamListing;
 use crate::event::PeerIdentity;
 use crate::id::Incarnation;
@@ -84,6 +85,7 @@
     pub(crate) roster_watch: super::roster_watch::RosterWatch,
     timers: TimerService<OwnTimer>,
     is_leaving: bool,
+    pub(crate) exits_at: Option<Timestamp>,
     reported_free: u32,
     reported_queue: bool,
     reported_at: Timestamp,
@@ -110,6 +112,7 @@
             roster_watch: super::roster_watch::RosterWatch::default(),
             timers,
             is_leaving: false,
+            exits_at: None,
             reported_free: 0,
             reported_queue: false,
             reported_at: Timestamp::ZERO,
@@ -220,13 +223,14 @@
             RunEvent::OrderAnswered { order, answer } => {
                 self.owner.order_answered(self.now, order, answer);
             }
-            RunEvent::StopRequested => self.stop(),
+            RunEvent::StopRequested { grace } => self.stop(grace),
             RunEvent::Tick => {}
         }
     }
 
-    fn stop(&mut self) {
+    fn stop(&mut self, grace: Duration) {
         self.is_leaving = true;
+        self.exits_at = Some(self.now + grace);
         self.owner.leave();
         self.assign_upstreams();
         self.send_reports();
@@ -249,7 +253,7 @@
     fn forget_upstreams(&mut self, gone: &[Arc<str>]) {
         for id in gone {
             tracing::info!(upstream = %id, "upstream gone");
-            self.owner.forget(self.now, id);
+            self.owner.forget(id);
         }
     }
 
@@ -683,7 +687,11 @@
         }
         let step = task.step as usize;
         let room = job.spec.steps[step].room;
-        if let Some(choice) = choose_owner(views, room, job.expected_runs[step]) {
+        let seeking = SeekingTask {
+            expected_run: job.expected_runs[step],
+            objective_left: job.objective_at.since(now),
+        };
+        if let Some(choice) = choose_owner(views, room, &seeking) {
             let owner = views[choice.view].owner;
             chosen.entry(owner).or_default().push(index);
         }
@@ -712,7 +720,7 @@
 /// The free processor of a load in thousandths of a core, and whether tasks wait.
 fn measure(digest: &RunDigest) -> (u32, bool) {
     let free = digest.services.iter().flat_map(|load| &load.free);
-    let free = free.map(|room| room.cpu_millicores);
+    let free = free.map(|upstream| upstream.room.cpu_millicores);
     let has_queue = digest.services.iter().any(|load| load.queued_tasks > 0);
     (free.fold(0, u32::saturating_add), has_queue)
 }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -171,6 +171,8 @@
     },
     /// It may still run; another instance has taken over its upstream.
     TakenOver,
+    /// It is stopped: by its progress it would end after its caller has left.
+    TooLong,
 }
 
 /// Why a run did not start.
--- a/lib/src/runs/spread.rs
+++ b/lib/src/runs/spread.rs
@@ -4,8 +4,13 @@
 
 use super::held_batch::core_ms;
 use super::resources::Resources;
+use super::run_digest::FreeUpstream;
 use super::run_digest::RunLoad;
 use super::run_id::PeerKey;
+use super::upstream_choice::RoomyUpstream;
+use super::upstream_choice::SeekingTask;
+use super::upstream_choice::SlowestInTime;
+use super::upstream_choice::UpstreamChoice;
 
 /// An instance that owns upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -29,7 +34,7 @@
 pub(crate) struct OwnerView {
     pub(crate) owner: OwnerRef,
     pub(crate) distance: Distance,
-    pub(crate) free: Vec<Resources>,
+    pub(crate) free: Vec<FreeUpstream>,
     pub(crate) total: Resources,
     pub(crate) queued_core_ms: u64,
 }
@@ -52,19 +57,6 @@
         }
     }
 
-    /// The fullest upstream with room for a task.
-    fn fitting(&self, room: Resources) -> Option<usize> {
-        let fitting = self.free.iter().enumerate();
-        let fitting = fitting.filter(|(_, free)| room.fits(**free));
-        let fullest = fitting.min_by_key(|(_, free)| free.cpu_millicores);
-        fullest.map(|(index, _)| index)
-    }
-
-    fn free_millicores(&self) -> u32 {
-        let free = self.free.iter().map(|room| room.cpu_millicores);
-        free.fold(0, u32::saturating_add)
-    }
-
     /// How long work that comes now waits, as if all cores there worked off the queue together.
     fn wait(&self) -> Duration {
         let cores = u64::from(self.total.cpu_millicores / 1_000).max(1);
@@ -82,15 +74,10 @@
 pub(crate) fn choose_owner(
     views: &mut [OwnerView],
     room: Resources,
-    expected_run: Duration,
+    task: &SeekingTask,
 ) -> Option<Choice> {
-    let fitting = views.iter().enumerate().filter_map(|(index, view)| {
-        let upstream = view.fitting(room)?;
-        Some((index, upstream, view.distance, view.free_millicores()))
-    });
-    let nearest = fitting.min_by_key(|(_, _, distance, free)| (*distance, u32::MAX - free));
-    if let Some((view, upstream, _, _)) = nearest {
-        views[view].free[upstream] -= room;
+    if let Some((view, upstream)) = fitting(views, room, task) {
+        views[view].free[upstream].room -= room;
         let wait = Duration::ZERO;
         return Some(Choice { view, wait });
     }
@@ -98,6 +85,29 @@
     let waiting = waiting.filter(|(_, view)| room.fits(view.total));
     let (view, least) = waiting.min_by_key(|(_, view)| (view.pressure(), view.distance))?;
     let wait = least.wait();
-    views[view].queued_core_ms += core_ms(room.cpu_millicores, expected_run);
+    views[view].queued_core_ms += core_ms(room.cpu_millicores, task.expected_run);
     Some(Choice { view, wait })
 }
+
+/// The best upstream with room for a task now, by its owner's place and its own.
+fn fitting(views: &[OwnerView], room: Resources, task: &SeekingTask) -> Option<(usize, usize)> {
+    let mut places = Vec::new();
+    let mut candidates = Vec::new();
+    for (index, view) in views.iter().enumerate() {
+        for (place, upstream) in view.free.iter().enumerate() {
+            if !room.fits(upstream.room) {
+                continue;
+            }
+            places.push((index, place));
+            candidates.push(RoomyUpstream {
+                avoided: false,
+                far_from_data: false,
+                slowness_percent: upstream.slowness_percent,
+                left_millicores: upstream.room.minus(room).cpu_millicores,
+                distance: view.distance as u32,
+            });
+        }
+    }
+    let chosen = SlowestInTime.choose(task, &candidates)?;
+    Some(places[chosen])
+}
--- a/lib/src/runs/upstream_choice.rs
+++ b/lib/src/runs/upstream_choice.rs
@@ -1,43 +1,81 @@
 //! The choice of an upstream for a task, among those with room.
 
+use std::time::Duration;
+
+use almondhead_macros::value;
+
+/// A task that looks for an upstream.
+#[value]
+#[derive(Copy)]
+pub struct SeekingTask {
+    /// Its expected run time on an upstream of usual speed.
+    pub expected_run: Duration,
+    /// How long until its job is to end.
+    pub objective_left: Duration,
+}
+
 /// An upstream that could take the task.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[value]
+#[derive(Copy)]
 pub struct RoomyUpstream {
     /// Whether the task failed there before.
     pub avoided: bool,
     /// Whether the task's data is elsewhere.
     pub far_from_data: bool,
-    /// The measured run times there over the expected ones.
-    pub slowness: f64,
+    /// The measured run times there over the expected ones, in hundredths.
+    pub slowness_percent: u32,
     /// The processor that would stay free, in thousandths of a core.
     pub left_millicores: u32,
+    /// How far it is, zero nearest.
+    pub distance: u32,
 }
 
 /// Chooses one of several upstreams.
 pub trait UpstreamChoice: std::fmt::Debug + Send {
     /// The index of the chosen one; none without candidates.
-    fn choose(&self, candidates: &[RoomyUpstream]) -> Option<usize>;
+    fn choose(&self, task: &SeekingTask, candidates: &[RoomyUpstream]) -> Option<usize>;
 }
 
-/// Upstreams whose slowness differs by less than this share count as equally fast.
-const SAME_SPEED: f64 = 0.1;
+/// How much longer than expected a task may run and still be in time, in hundredths.
+///
+/// Declared run times are off by about two fifths.
+const SAFETY_PERCENT: u32 = 160;
 
-/// The fastest first, and among equally fast ones the fullest, so that room for wide tasks stays.
-#[derive(Debug, Default)]
-pub struct FastestThenFullest;
+/// Upstreams whose slowness differs by less than these hundredths count as equally fast.
+const SAME_SPEED_PERCENT: u32 = 10;
 
-impl UpstreamChoice for FastestThenFullest {
-    fn choose(&self, candidates: &[RoomyUpstream]) -> Option<usize> {
+/// The nearest and, of these, the slowest that is surely in time, so that fast upstreams stay for
+/// tasks that need them; the fastest when none is. The fullest among equals, so that room for
+/// wide tasks stays.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SlowestInTime;
+
+impl UpstreamChoice for SlowestInTime {
+    fn choose(&self, task: &SeekingTask, candidates: &[RoomyUpstream]) -> Option<usize> {
         let ranked = candidates.iter().enumerate();
         let best = ranked.min_by_key(|(_, candidate)| {
-            let speed_class = (candidate.slowness / SAME_SPEED).round();
+            let is_in_time = task.is_in_time(candidate);
+            let speed_class = candidate.slowness_percent / SAME_SPEED_PERCENT;
+            let (near_first, speed) = match is_in_time {
+                true => (candidate.distance, u32::MAX - speed_class),
+                false => (0, speed_class),
+            };
             (
                 candidate.avoided,
                 candidate.far_from_data,
-                speed_class as i64,
+                !is_in_time,
+                (near_first, speed),
+                candidate.distance,
                 candidate.left_millicores,
             )
         });
         best.map(|(index, _)| index)
     }
 }
+
+impl SeekingTask {
+    fn is_in_time(&self, candidate: &RoomyUpstream) -> bool {
+        let run = self.expected_run * candidate.slowness_percent / 100;
+        run * SAFETY_PERCENT / 100 <= self.objective_left
+    }
+}
--- a/lib/src/runs/upstream_clock.rs
+++ b/lib/src/runs/upstream_clock.rs
@@ -4,6 +4,7 @@
 
 use almondhead_macros::key;
 
+use super::whole_ms::whole_ms;
 use crate::time::Timestamp;
 
 /// How much slower than ours an upstream's clock may run, in thousandths.
@@ -26,7 +27,7 @@
 
     /// What the clock shows now, were it as fast as ours and the answer without delay.
     pub fn estimate_ms(&self, now: Timestamp) -> u64 {
-        self.read_ms.saturating_add(millis(now.since(self.read_at)))
+        self.read_ms.saturating_add(whole_ms(now.since(self.read_at)))
     }
 
     /// Whether the clock shows more than `clock_ms` by now, however slow it runs.
@@ -41,7 +42,3 @@
         self.read_at + Duration::from_millis(at_most_ms)
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
