runs: give tasks near their callers' limit the fast upstreams, and start them over there

Cause: the largest tenth of call-connect was served far less often than the rest, since a long job on a slow upstream ends after its caller has left and nobody knew before the end. Progress now predicts the end; a run that would be too late starts over on an upstream that is fast enough, else is given up.

--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -219,6 +219,7 @@
             step: task.step,
             index: task.index,
             run: task.run,
+            known_run_us: task.known_run.map(to_us),
             avoid: task.avoid.iter().map(ToString::to_string).collect(),
         }
     }
@@ -235,6 +236,7 @@
             step: task.step,
             index: task.index,
             run: task.run,
+            known_run: task.known_run_us.map(Duration::from_micros),
             avoid: avoid.collect::<Result<_, _>>()?,
         })
     }
@@ -300,7 +302,10 @@
             }
             RunEnd::Lost { upstream } => End::LostOn(upstream.to_string()),
             RunEnd::TakenOver => End::TakenOver(proto::TakenOver {}),
-            RunEnd::TooLong => End::TooLong(proto::TooLong {}),
+            RunEnd::TooLong { work, upstream } => End::TooLong(proto::TooLong {
+                work_us: to_us(work),
+                upstream: upstream.to_string(),
+            }),
         };
         proto::RunEnd {
             run: Some(end.run.into()),
@@ -325,7 +330,10 @@
                 upstream: name("ends.lost_on", upstream)?,
             },
             End::TakenOver(proto::TakenOver {}) => RunEnd::TakenOver,
-            End::TooLong(proto::TooLong {}) => RunEnd::TooLong,
+            End::TooLong(too_long) => RunEnd::TooLong {
+                work: Duration::from_micros(too_long.work_us),
+                upstream: name("ends.too_long.upstream", too_long.upstream)?,
+            },
         };
         Ok(TaskEnd {
             run: required("ends.run", end.run)?.try_into()?,
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -541,6 +541,9 @@
     /// Upstreams that it failed on before.
     #[prost(string, repeated, tag = "4")]
     pub avoid: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Its run time on an upstream of usual speed in microseconds, where it is known.
+    #[prost(uint64, optional, tag = "5")]
+    pub known_run_us: ::core::option::Option<u64>,
 }
 /// Runs that run already on an upstream that the receiver has taken over.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -614,7 +617,7 @@
         /// Another instance has taken over its upstream.
         #[prost(message, tag = "6")]
         TakenOver(super::TakenOver),
-        /// It would end too late, and is stopped.
+        /// It would have ended too late, and was stopped.
         #[prost(message, tag = "7")]
         TooLong(super::TooLong),
     }
@@ -622,9 +625,16 @@
 /// Another instance has taken over the upstream.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TakenOver {}
-/// The run would end too late.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct TooLong {}
+/// The run would have ended too late.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TooLong {
+    /// What it would take on an upstream of usual speed, in microseconds.
+    #[prost(uint64, tag = "1")]
+    pub work_us: u64,
+    /// The upstream.
+    #[prost(string, tag = "2")]
+    pub upstream: ::prost::alloc::string::String,
+}
 /// Stop what is left of some batches.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CancelRuns {
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -102,7 +102,9 @@
         for _ in 0..step.tasks {
             let seeking = SeekingTask {
                 expected_run: *run,
+                is_run_known: false,
                 objective_left: wait,
+                deadline_left: wait,
             };
             if let Some(choice) = choose_owner(views, step.room, &seeking) {
                 longest_wait = longest_wait.max(choice.wait);
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -11,6 +11,7 @@
 use super::run_message::RunBatch;
 use super::run_message::StepDemand;
 use super::run_message::TaskEnd;
+use super::upstream_choice::SeekingTask;
 use super::whole_ms::whole_ms;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
@@ -92,6 +93,22 @@
         run_of(self.job, &self.tasks[task].placed)
     }
 
+    /// How long a task is expected to run on an upstream of usual speed.
+    pub(crate) fn expected_run(&self, task: TaskIndex) -> Duration {
+        let known = self.tasks[task].placed.known_run;
+        known.unwrap_or(self.demand(task).expected_run)
+    }
+
+    /// A task as one that looks for an upstream.
+    pub(crate) fn seeking(&self, now: Timestamp, task: TaskIndex) -> SeekingTask {
+        SeekingTask {
+            expected_run: self.expected_run(task),
+            is_run_known: self.tasks[task].placed.known_run.is_some(),
+            objective_left: self.objective_left(now),
+            deadline_left: self.deadline.since(now),
+        }
+    }
+
     /// What a task needs.
     pub(crate) fn demand(&self, task: TaskIndex) -> &StepDemand {
         &self.demands[self.tasks[task].demand]
@@ -100,7 +117,7 @@
     /// The latest time at which a task may start and still end before its caller leaves.
     pub(crate) fn start_by(&self, task: TaskIndex) -> Timestamp {
         let left = self.deadline.since(Timestamp::ZERO);
-        let expected = self.demand(task).expected_run;
+        let expected = self.expected_run(task);
         Timestamp::ZERO + left.saturating_sub(expected.mul_f64(FASTEST_RUN))
     }
 
@@ -114,7 +131,7 @@
     /// The expected work of a task in milliseconds of one core.
     pub(crate) fn core_ms(&self, task: TaskIndex) -> u64 {
         let demand = self.demand(task);
-        core_ms(demand.room.cpu_millicores, demand.expected_run)
+        core_ms(demand.room.cpu_millicores, self.expected_run(task))
     }
 }
 
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -177,6 +177,7 @@
                 index,
                 run: 1,
                 failures: 0,
+                known_run: None,
                 avoid: Vec::new(),
                 state: HomeState::Blocked,
             })
@@ -267,8 +268,11 @@
                 self.start_over(now, key, task);
             }
             RunEnd::TakenOver => self.set_adrift(now, key, task, now),
-            RunEnd::TooLong => {
-                self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
+            RunEnd::TooLong { work, upstream } => {
+                let state = &mut job.tasks[task];
+                state.known_run = Some(work);
+                state.avoid.push(upstream);
+                self.start_over(now, key, task);
             }
         }
         self.close_empty_batches(key);
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -14,6 +14,7 @@
 use super::run_message::RunBatch;
 use super::run_message::StepDemand;
 use super::spread::OwnerRef;
+use super::upstream_choice::SeekingTask;
 use crate::id::RequestId;
 use crate::time::Timestamp;
 
@@ -47,6 +48,8 @@
     pub(crate) index: u32,
     pub(crate) run: u32,
     pub(crate) failures: u32,
+    /// Its run time on an upstream of usual speed, where its progress has shown it.
+    pub(crate) known_run: Option<Duration>,
     pub(crate) avoid: Vec<Arc<str>>,
     pub(crate) state: HomeState,
 }
@@ -139,8 +142,23 @@
 
     /// The time that a task started now would still need in the best case.
     pub(crate) fn least_run(&self, task: usize) -> Duration {
-        let expected = self.expected_runs[self.tasks[task].step as usize];
-        expected.mul_f64(LEAST_RUN)
+        let task = &self.tasks[task];
+        match task.known_run {
+            Some(known) => known.mul_f64(LEAST_KNOWN_RUN),
+            None => self.expected_runs[task.step as usize].mul_f64(LEAST_RUN),
+        }
+    }
+
+    /// The task as one that looks for an upstream.
+    pub(crate) fn seeking(&self, now: Timestamp, task: usize) -> SeekingTask {
+        let task = &self.tasks[task];
+        let expected_run = self.expected_runs[task.step as usize];
+        SeekingTask {
+            expected_run: task.known_run.unwrap_or(expected_run),
+            is_run_known: task.known_run.is_some(),
+            objective_left: self.objective_at.since(now),
+            deadline_left: self.deadline.since(now),
+        }
     }
 }
 
@@ -148,6 +166,9 @@
 /// quarter faster than the usual one, and figures are rough.
 const LEAST_RUN: f64 = 0.6;
 
+/// The share of a known run time that a task needs at the least.
+const LEAST_KNOWN_RUN: f64 = 0.78;
+
 impl HomeJob {
     /// The message that hands tasks to an owner.
     pub(crate) fn to_batch(&self, now: Timestamp, number: u64, tasks: &[usize]) -> RunBatch {
@@ -171,6 +192,7 @@
                 step: state.step,
                 index: state.index,
                 run: state.run,
+                known_run: state.known_run,
                 avoid: state.avoid.clone(),
             }
         });
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -120,10 +120,27 @@
         if self.percent < LEAST_PROGRESS_PERCENT {
             return None;
         }
-        let elapsed = now.since(self.ordered_at);
+        // What has not progressed since the last report is later still.
+        let at_least = self.ordered_at + self.predicted_run();
+        Some(at_least.max(now))
+    }
+
+    /// How long it takes in all if it goes on as before.
+    pub(crate) fn predicted_run(&self) -> Duration {
+        let elapsed = self.progressed_at.since(self.ordered_at);
         // The percentage is rounded down.
-        let whole = elapsed * 100 / (u32::from(self.percent) + 1);
-        Some(self.ordered_at + whole)
+        elapsed * 100 / (u32::from(self.percent) + 1)
+    }
+
+    /// Whether it was stopped since it would have ended too late.
+    pub(crate) fn is_stopped_as_too_long(&self) -> bool {
+        matches!(
+            self.phase,
+            RunPhase::Stopping {
+                reason: StopReason::TooLong,
+                ..
+            }
+        )
     }
 
     /// Whether it goes so slowly that its upstream must have become slow.
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -33,7 +33,6 @@
 use super::run_order::AddressedOrder;
 use super::run_order::RunOrder;
 use super::upstream_choice::RoomyUpstream;
-use super::upstream_choice::SeekingTask;
 use super::upstream_choice::SlowestInTime;
 use super::upstream_choice::UpstreamChoice;
 use super::whole_ms::whole_ms;
@@ -298,7 +297,7 @@
     ) -> bool {
         let batch = &mut self.batches[key];
         let run = batch.run(task);
-        let (room, expected_run) = (batch.demand(task).room, batch.demand(task).expected_run);
+        let (room, expected_run) = (batch.demand(task).room, batch.expected_run(task));
         let Some(on) = self.by_id.get(id).copied() else {
             return false;
         };
@@ -539,10 +538,7 @@
                 distance: 0,
             });
         }
-        let seeking = SeekingTask {
-            expected_run: demand.expected_run,
-            objective_left: batch.objective_left(now),
-        };
+        let seeking = batch.seeking(now, task);
         let chosen = self.choice.choose(&seeking, &candidates);
         chosen.map(|index| keys[index])
     }
@@ -569,7 +565,7 @@
         let batch = &mut self.batches[key];
         let run = batch.run(task);
         let demand = batch.demand(task);
-        let (room, expected) = (demand.room, demand.expected_run);
+        let (room, expected) = (demand.room, batch.expected_run(task));
         let spec = batch.spec.clone();
         let waited_ms = whole_ms(now.since(batch.taken_at));
         batch.tasks[task].state = HeldState::Running(on);
@@ -704,7 +700,7 @@
 }
 
 fn queued_view(batch: &HeldBatch, task: TaskIndex) -> QueuedView {
-    let expected_us = batch.demand(task).expected_run.as_micros();
+    let expected_us = batch.expected_run(task).as_micros();
     QueuedView {
         objective_at_us: batch.objective_at_us,
         expected_run_us: i64::try_from(expected_us).unwrap_or(i64::MAX),
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -405,6 +405,10 @@
                 }
                 RunEnd::Failed { upstream: id }
             }
+            EndedHow::Stopped if leased.is_stopped_as_too_long() => RunEnd::TooLong {
+                work: leased.predicted_run().div_f64(upstream.slowness),
+                upstream: id,
+            },
             EndedHow::Stopped | EndedHow::Lapsed | EndedHow::Other => RunEnd::Lost { upstream: id },
         };
         self.mark_dirty();
@@ -460,16 +464,7 @@
         if reason == StopReason::Stalled {
             self.count_failure(now, on);
         }
-        let leased = self.upstreams[on].runs.get_mut(&run);
-        let task = match reason {
-            // Its home needs no word of its end any more.
-            StopReason::TooLong => leased.and_then(|leased| leased.task.take()),
-            _ => None,
-        };
         self.stop(now, on, run, reason);
-        if let Some((key, task)) = task {
-            self.report(key, task, RunEnd::TooLong);
-        }
     }
 
     /// Takes in that runs are listed no more without an end.
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -35,7 +35,6 @@
 use super::spread::OwnerRef;
 use super::spread::OwnerView;
 use super::spread::choose_owner;
-use super::upstream_choice::SeekingTask;
 use super::upstream_listing::UpstreamListing;
 use crate::event::PeerIdentity;
 use crate::id::Incarnation;
@@ -687,10 +686,7 @@
         }
         let step = task.step as usize;
         let room = job.spec.steps[step].room;
-        let seeking = SeekingTask {
-            expected_run: job.expected_runs[step],
-            objective_left: job.objective_at.since(now),
-        };
+        let seeking = job.seeking(now, index);
         if let Some(choice) = choose_owner(views, room, &seeking) {
             let owner = views[choice.view].owner;
             chosen.entry(owner).or_default().push(index);
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -125,6 +125,8 @@
     pub index: u32,
     /// The number of the start.
     pub run: u32,
+    /// Its run time on an upstream of usual speed, where its progress elsewhere has shown it.
+    pub known_run: Option<Duration>,
     /// Upstreams that it failed on before.
     pub avoid: Vec<Arc<str>>,
 }
@@ -171,8 +173,13 @@
     },
     /// It may still run; another instance has taken over its upstream.
     TakenOver,
-    /// It is stopped: by its progress it would end after its caller has left.
-    TooLong,
+    /// It was stopped: by its progress it would have ended after its caller has left.
+    TooLong {
+        /// What it would take on an upstream of usual speed.
+        work: Duration,
+        /// The upstream.
+        upstream: Arc<str>,
+    },
 }
 
 /// Why a run did not start.
--- a/lib/src/runs/upstream_choice.rs
+++ b/lib/src/runs/upstream_choice.rs
@@ -10,8 +10,12 @@
 pub struct SeekingTask {
     /// Its expected run time on an upstream of usual speed.
     pub expected_run: Duration,
+    /// Whether that is known from its progress elsewhere, not from what was declared.
+    pub is_run_known: bool,
     /// How long until its job is to end.
     pub objective_left: Duration,
+    /// How long until its caller leaves.
+    pub deadline_left: Duration,
 }
 
 /// An upstream that could take the task.
@@ -36,10 +40,14 @@
     fn choose(&self, task: &SeekingTask, candidates: &[RoomyUpstream]) -> Option<usize>;
 }
 
-/// How much longer than expected a task may run and still be in time, in hundredths.
+/// How much longer than declared a task may run and must still end before its caller leaves, in
+/// hundredths: declared run times are off by about two fifths.
 ///
-/// Declared run times are off by about two fifths.
-const SAFETY_PERCENT: u32 = 160;
+/// The objective needs no such margin, since it grows with the true run time.
+const DECLARED_SAFETY_PERCENT: u32 = 200;
+
+/// The same margin for a run time that is known.
+const KNOWN_SAFETY_PERCENT: u32 = 108;
 
 /// Upstreams whose slowness differs by less than these hundredths count as equally fast.
 const SAME_SPEED_PERCENT: u32 = 10;
@@ -76,6 +84,10 @@
 impl SeekingTask {
     fn is_in_time(&self, candidate: &RoomyUpstream) -> bool {
         let run = self.expected_run * candidate.slowness_percent / 100;
-        run * SAFETY_PERCENT / 100 <= self.objective_left
+        let safety_percent = match self.is_run_known {
+            true => KNOWN_SAFETY_PERCENT,
+            false => DECLARED_SAFETY_PERCENT,
+        };
+        run <= self.objective_left && run * safety_percent / 100 <= self.deadline_left
     }
 }
