--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -41,13 +41,28 @@
         .collect()
 }
 
+/// The index of the instance that owns an upstream by its name and theirs alone.
+///
+/// Whoever knows the same instances names the same owner, whatever other upstreams it knows.
+pub fn rendezvous_owner(upstream: &str, instances: &[&str]) -> Option<usize> {
+    let seed = xxh3_64_with_seed(upstream.as_bytes(), 0);
+    let scores = instances.iter().enumerate();
+    let scores = scores.map(|(index, name)| (score(seed, name), index));
+    scores.max().map(|(_, index)| index)
+}
+
+/// The score of an instance for an upstream with this seed.
+fn score(upstream_seed: u64, instance: &str) -> u64 {
+    xxh3_64_with_seed(instance.as_bytes(), upstream_seed)
+}
+
 /// All pairs, the highest score first.
 fn ranked_pairs(upstreams: &[OwnedUpstream<'_>], instances: &[&str]) -> Vec<Pair> {
     let mut pairs = Vec::with_capacity(upstreams.len() * instances.len());
     for (upstream, owned) in upstreams.iter().enumerate() {
         let seed = xxh3_64_with_seed(owned.name.as_bytes(), 0);
         for (instance, name) in instances.iter().enumerate() {
-            let score = xxh3_64_with_seed(name.as_bytes(), seed);
+            let score = score(seed, name);
             pairs.push(Pair {
                 score,
                 upstream,
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -79,6 +79,8 @@
 pub(crate) struct OpenBatch {
     pub(crate) job: HomeJobKey,
     pub(crate) sent_at: Timestamp,
+    /// Whether its runs ran before the owner got them.
+    is_adoption: bool,
 }
 
 /// What a home wants done.
@@ -267,7 +269,7 @@
                 job.tasks[task].avoid.push(upstream);
                 self.start_over(now, key, task);
             }
-            RunEnd::TakenOver => self.set_adrift(now, key, task, now),
+            RunEnd::TakenOver => self.set_adrift(now, key, task, now, None),
             RunEnd::TooLong { work, upstream } => {
                 let state = &mut job.tasks[task];
                 state.known_run = Some(work);
@@ -286,7 +288,10 @@
         job.open_tasks -= 1;
         let declared = job.spec.steps[step].declared_run;
         let estimate = self.estimates.entry(job.queue.name.clone()).or_default();
-        estimate.record_declared(declared, work);
+        // An end that another owner found tells no run time.
+        if !work.is_zero() {
+            estimate.record_declared(declared, work);
+        }
         if job.open_tasks == 0 {
             return self.end_job(now, key, JobEnd::Completed);
         }
@@ -342,9 +347,16 @@
         }
     }
 
-    fn set_adrift(&mut self, now: Timestamp, key: HomeJobKey, task: usize, since: Timestamp) {
+    fn set_adrift(
+        &mut self,
+        now: Timestamp,
+        key: HomeJobKey,
+        task: usize,
+        since: Timestamp,
+        from: Option<(OwnerRef, u64)>,
+    ) {
         let job = &mut self.jobs[key];
-        job.tasks[task].state = HomeState::Adrift { since };
+        job.tasks[task].state = HomeState::Adrift { since, from };
         let due = (now + ADRIFT_TIME).max(since + ADRIFT_TIME);
         self.timers.subscribe(due, HomeTimer::Adrift(key));
     }
@@ -357,7 +369,7 @@
         let tasks = (0..).zip(&job.tasks);
         let adrift: Vec<(usize, Timestamp)> = tasks
             .filter_map(|(task, state)| match state.state {
-                HomeState::Adrift { since } => Some((task, since)),
+                HomeState::Adrift { since, .. } => Some((task, since)),
                 _ => None,
             })
             .collect();
@@ -381,17 +393,19 @@
         let keys: Vec<HomeJobKey> = self.jobs.keys().collect();
         for key in keys {
             let job = &self.jobs[key];
-            let tasks = (0..job.tasks.len()).filter(|task| {
-                matches!(job.tasks[*task].state, HomeState::Placed { owner: at, .. } if at == owner)
+            let tasks = (0..).zip(&job.tasks);
+            let tasks = tasks.filter_map(|(task, state)| match state.state {
+                HomeState::Placed { owner: at, batch } if at == owner => Some((task, batch)),
+                _ => None,
             });
-            let tasks: Vec<usize> = tasks.collect();
+            let tasks: Vec<(usize, u64)> = tasks.collect();
             if tasks.is_empty() {
                 continue;
             }
             tracing::warn!(job = %job.id, ?owner, tasks = tasks.len(), "owner out of reach");
             self.jobs[key].may_have_run = true;
-            for task in tasks {
-                self.set_adrift(now, key, task, last_heard);
+            for (task, batch) in tasks {
+                self.set_adrift(now, key, task, last_heard, Some((owner, batch)));
             }
         }
         self.batches.retain(|(at, _), _| *at != owner);
@@ -418,24 +432,27 @@
                     upstream: upstream.clone(),
                 },
             };
-            if let Some((key, task)) = self.claimable(owner, found.run) {
+            if let Some((key, task)) = self.claimable(found.run) {
                 self.end_task(now, key, task, end);
             }
         }
         for run in running {
-            if let Some((key, task)) = self.claimable(owner, *run) {
+            let Some((key, task)) = self.claimable(*run) else {
+                continue;
+            };
+            let state = self.jobs[key].tasks[task].state;
+            if !matches!(state, HomeState::Placed { owner: at, .. } if at == owner) {
                 self.move_task(now, key, task, owner, upstream);
             }
         }
     }
 
-    /// The task of a run that another owner than `owner` had.
-    fn claimable(&self, owner: OwnerRef, run: RunId) -> Option<(HomeJobKey, usize)> {
+    /// The open task of a run that some owner had.
+    fn claimable(&self, run: RunId) -> Option<(HomeJobKey, usize)> {
         let key = *self.by_id.get(&run.task.job)?;
         let task = self.jobs[key].task_of(run)?;
         match self.jobs[key].tasks[task].state {
-            HomeState::Placed { owner: at, .. } if at != owner => Some((key, task)),
-            HomeState::Adrift { .. } => Some((key, task)),
+            HomeState::Placed { .. } | HomeState::Adrift { .. } => Some((key, task)),
             _ => None,
         }
     }
@@ -452,6 +469,9 @@
         tracing::info!(job = %run.task.job, run = %run, upstream = %upstream, ?owner, "run claimed");
         let batch = self.batch_of(now, key, owner, &[task]);
         self.close_empty_batches(key);
+        if let Some(open) = self.batches.get_mut(&(owner, batch.number)) {
+            open.is_adoption = true;
+        }
         self.outputs.push(HomeOutput::Adopt {
             owner,
             upstream: upstream.clone(),
@@ -467,33 +487,84 @@
         held: &[u64],
         highest_taken: u64,
     ) {
+        self.judge_adrift(now, owner, held, highest_taken);
         let missing = self.batches.iter().filter(|((at, number), batch)| {
             let was_taken = *number <= highest_taken;
             let was_lost = now.since(batch.sent_at) >= BATCH_ON_ITS_WAY;
             *at == owner && !held.contains(number) && (was_taken || was_lost)
         });
-        let missing: Vec<((OwnerRef, u64), HomeJobKey)> =
-            missing.map(|(name, batch)| (*name, batch.job)).collect();
-        for ((owner, number), key) in missing {
+        let missing: Vec<(u64, HomeJobKey, bool)> = missing
+            .map(|((_, number), batch)| (*number, batch.job, batch.is_adoption))
+            .collect();
+        for (number, key, is_adoption) in missing {
             self.batches.swap_remove(&(owner, number));
-            let Some(job) = self.jobs.get(key) else {
-                continue;
-            };
-            tracing::warn!(job = %job.id, batch = number, ?owner, "batch not held by its owner");
             let placed = HomeState::Placed {
                 owner,
                 batch: number,
             };
-            let tasks = (0..job.tasks.len()).filter(|task| job.tasks[*task].state == placed);
-            for task in tasks.collect::<Vec<_>>() {
-                if self.jobs.contains_key(key) {
-                    self.jobs[key].may_have_run = true;
-                    self.start_over(now, key, task);
+            for task in self.tasks_in(key, |state| state == placed) {
+                tracing::warn!(batch = number, ?owner, is_adoption, "batch not held by its owner");
+                if is_adoption {
+                    // The owner never took charge of what runs: it may still run.
+                    self.set_adrift(now, key, task, now, None);
+                } else {
+                    self.restart_ended(now, key, task);
+                }
+            }
+        }
+    }
+
+    /// Decides about tasks adrift whose owner is heard again.
+    fn judge_adrift(&mut self, now: Timestamp, owner: OwnerRef, held: &[u64], highest_taken: u64) {
+        let keys: Vec<HomeJobKey> = self.jobs.keys().collect();
+        for key in keys {
+            let from_owner = |state: HomeState| match state {
+                HomeState::Adrift {
+                    from: Some((at, batch)),
+                    ..
+                } if at == owner => Some(batch),
+                _ => None,
+            };
+            for task in self.tasks_in(key, |state| from_owner(state).is_some()) {
+                let Some(job) = self.jobs.get_mut(key) else {
+                    break;
+                };
+                let Some(batch) = from_owner(job.tasks[task].state) else {
+                    continue;
+                };
+                if held.contains(&batch) {
+                    job.tasks[task].state = HomeState::Placed { owner, batch };
+                    let open = OpenBatch {
+                        job: key,
+                        sent_at: now,
+                        is_adoption: false,
+                    };
+                    self.batches.insert((owner, batch), open);
+                } else if batch <= highest_taken {
+                    self.restart_ended(now, key, task);
                 }
             }
         }
     }
 
+    /// The tasks of a job in some state; none when the job has ended.
+    fn tasks_in(&self, key: HomeJobKey, is_wanted: impl Fn(HomeState) -> bool) -> Vec<usize> {
+        let Some(job) = self.jobs.get(key) else {
+            return Vec::new();
+        };
+        let tasks = (0..).zip(&job.tasks);
+        let wanted = tasks.filter(|(_, task)| is_wanted(task.state));
+        wanted.map(|(task, _)| task).collect()
+    }
+
+    /// Starts a task over whose run has surely ended without word of how.
+    fn restart_ended(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.may_have_run = true;
+            self.start_over(now, key, task);
+        }
+    }
+
     /// Takes back a batch that was never sent.
     pub(crate) fn take_unsent(&mut self, now: Timestamp, owner: OwnerRef, number: u64) {
         let Some(batch) = self.batches.swap_remove(&(owner, number)) else {
@@ -541,7 +612,11 @@
         tasks: &[usize],
     ) -> RunBatch {
         let number = self.next_batch();
-        self.batches.insert((owner, number), OpenBatch { job: key, sent_at: now });
+        self.batches.insert((owner, number), OpenBatch {
+                job: key,
+                sent_at: now,
+                is_adoption: false,
+            });
         let job = &mut self.jobs[key];
         job.placements += u32::try_from(tasks.len()).unwrap_or(u32::MAX);
         for task in tasks {
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -72,6 +72,8 @@
     Adrift {
         /// Since when.
         since: Timestamp,
+        /// The owner out of reach and its batch; none when another owner has the upstream.
+        from: Option<(OwnerRef, u64)>,
     },
     /// It is done.
     Done,
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -5,6 +5,7 @@
 use super::held_batch::TaskIndex;
 use super::resources::Resources;
 use super::run_id::HeldBatchKey;
+use crate::id::Incarnation;
 use crate::time::Timestamp;
 
 /// How often the expected run time may pass without progress before a run counts as stalled.
@@ -31,6 +32,8 @@
 pub(crate) struct LeasedRun {
     /// The batch and the task that it is for; none once its home gave it up.
     pub(crate) task: Option<(HeldBatchKey, TaskIndex)>,
+    /// The batch that it was for, once its home gave it up: the home and its number.
+    pub(crate) dropped_from: Option<(Incarnation, u64)>,
     pub(crate) room: Resources,
     pub(crate) phase: RunPhase,
     pub(crate) ordered_at: Timestamp,
@@ -95,6 +98,7 @@
     ) -> Self {
         LeasedRun {
             task: Some(task),
+            dropped_from: None,
             room,
             phase: RunPhase::Starting,
             ordered_at: now,
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -9,6 +9,7 @@
 use super::listed_upstream::ListedUpstream;
 use super::resources::Resources;
 use super::run_id::RunId;
+use super::run_order::EndedHow;
 use super::upstream_clock::UpstreamClock;
 use super::whole_ms::whole_ms;
 use crate::health::UpstreamHealth;
@@ -24,6 +25,9 @@
 /// The bounds of one run's share in the learned slowness, so that one odd run says little.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 8.0);
 
+/// The most ends of others' runs that are remembered, more than an upstream runs at a time.
+const MAX_FOUND_ENDS: usize = 64;
+
 /// Whether an upstream answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Contact {
@@ -59,6 +63,8 @@
     pub(crate) lease_until_ms: u64,
     pub(crate) runs: IndexMap<RunId, LeasedRun>,
     pub(crate) strays: IndexMap<RunId, Stray>,
+    /// The last ends of runs that this instance did not order.
+    pub(crate) found_ends: IndexMap<RunId, EndedHow>,
     pub(crate) health: UpstreamHealth,
     pub(crate) slowness: f64,
     /// The runs behind `slowness`.
@@ -80,6 +86,7 @@
             lease_until_ms: 0,
             runs: IndexMap::new(),
             strays: IndexMap::new(),
+            found_ends: IndexMap::new(),
             health: UpstreamHealth::default(),
             slowness: 1.0,
             measured_runs: 0.0,
@@ -124,6 +131,14 @@
         Some(until_ms)
     }
 
+    /// Remembers the end of a run that this instance did not order.
+    pub(crate) fn note_found_end(&mut self, run: RunId, how: EndedHow) {
+        self.found_ends.insert(run, how);
+        if self.found_ends.len() > MAX_FOUND_ENDS {
+            self.found_ends.shift_remove_index(0);
+        }
+    }
+
     /// The slowness in hundredths.
     pub(crate) fn slowness_percent(&self) -> u32 {
         (self.slowness * 100.0).round() as u32
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -15,6 +15,7 @@
 use super::leased_run::LeasedRun;
 use super::leased_run::RunPhase;
 use super::leased_run::StopReason;
+use super::leased_upstream::Contact;
 use super::leased_upstream::LeasedUpstream;
 use super::listed_upstream::ListedUpstream;
 use super::resources::Resources;
@@ -31,6 +32,7 @@
 use super::run_message::RunEnd;
 use super::run_message::TaskEnd;
 use super::run_order::AddressedOrder;
+use super::run_order::EndedHow;
 use super::run_order::RunOrder;
 use super::upstream_choice::RoomyUpstream;
 use super::upstream_choice::SlowestInTime;
@@ -103,6 +105,8 @@
     by_number: IndexMap<(Incarnation, u64), HeldBatchKey>,
     highest_taken: IndexMap<Incarnation, u64>,
     queue: Vec<(HeldBatchKey, TaskIndex)>,
+    /// Dropped batches whose runs a newer owner has to end, and when they surely have ended.
+    pub(crate) lingering: IndexMap<(Incarnation, u64), Timestamp>,
     pub(crate) orders: IndexMap<OrderId, PendingOrder>,
     next_order: u64,
     /// Upstreams that were lost to a newer owner, with the version of the roster then in force.
@@ -126,6 +130,7 @@
             by_number: IndexMap::new(),
             highest_taken: IndexMap::new(),
             queue: Vec::new(),
+            lingering: IndexMap::new(),
             orders: IndexMap::new(),
             next_order: 1,
             lost: IndexMap::new(),
@@ -282,12 +287,32 @@
         };
         for task in 0..self.batches[key].tasks.len() {
             if !self.adopt_task(now, key, task, upstream) {
-                let upstream = Arc::from(upstream);
-                self.report(key, task, RunEnd::Lost { upstream });
+                let end = self.end_of_missing(self.batches[key].run(task), upstream);
+                self.report(key, task, end);
             }
         }
     }
 
+    /// How a run ended that was to be adopted and is not there.
+    fn end_of_missing(&self, run: RunId, id: &str) -> RunEnd {
+        let upstream = self.by_id.get(id).map(|on| &self.upstreams[*on]);
+        let Some(upstream) = upstream.filter(|on| on.contact == Contact::InTouch) else {
+            return RunEnd::TakenOver;
+        };
+        let upstream_id = upstream.listed.id.clone();
+        match upstream.found_ends.get(&run) {
+            Some(EndedHow::Done) => RunEnd::Done {
+                work: Duration::ZERO,
+            },
+            Some(EndedHow::Failed) => RunEnd::Failed {
+                upstream: upstream_id,
+            },
+            _ => RunEnd::Lost {
+                upstream: upstream_id,
+            },
+        }
+    }
+
     fn adopt_task(
         &mut self,
         now: Timestamp,
@@ -370,9 +395,15 @@
             return;
         };
         for task in 0..batch.tasks.len() {
-            if let HeldState::Running(on) = batch.tasks[task].state {
-                self.stop(now, on, batch.run(task), StopReason::Cancelled);
+            let HeldState::Running(on) = batch.tasks[task].state else {
+                continue;
+            };
+            let run = batch.run(task);
+            let leased = self.upstreams.get_mut(on);
+            if let Some(leased) = leased.and_then(|on| on.runs.get_mut(&run)) {
+                leased.dropped_from = Some((batch.home, batch.number));
             }
+            self.stop(now, on, run, StopReason::Cancelled);
         }
         self.queue.retain(|(queued, _)| *queued != key);
         self.is_dirty = true;
@@ -385,9 +416,20 @@
     }
 
     /// The batches of a home that are held, and the highest number taken.
-    pub(crate) fn held_of(&self, home: Incarnation) -> (Vec<u64>, u64) {
-        let of_home = self.by_number.keys().filter(|(of, _)| *of == home);
-        let held = of_home.map(|(_, number)| *number).collect();
+    ///
+    /// A batch that was dropped counts as held until the last of its runs has surely ended.
+    pub(crate) fn held_of(&self, now: Timestamp, home: Incarnation) -> (Vec<u64>, u64) {
+        let runs = self.upstreams.values().flat_map(|on| on.runs.values());
+        let stopping = runs.filter_map(|run| run.dropped_from);
+        let lingering = self.lingering.iter().filter(|(_, until)| **until > now);
+        let all = self.by_number.keys().copied().chain(stopping);
+        let all = all.chain(lingering.map(|(batch, _)| *batch));
+        let mut held: Vec<u64> = all
+            .filter(|(of, _)| *of == home)
+            .map(|(_, number)| number)
+            .collect();
+        held.sort_unstable();
+        held.dedup();
         let highest = self.highest_taken.get(&home).copied().unwrap_or(0);
         (held, highest)
     }
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -48,6 +48,9 @@
 /// How long after a stop without an answer it is ordered again.
 const STOP_RETRY: Duration = Duration::from_millis(100);
 
+/// How long a dropped run may last under a newer owner: that owner stops what no home claims.
+const LINGERING: Duration = Duration::from_millis(600);
+
 /// How long homes may take to claim runs that were found on an upstream.
 ///
 /// A message and its answer take a few milliseconds; a busy instance some tens.
@@ -155,7 +158,7 @@
             }
             Some(OrderRefusal::Fence) => {
                 self.requeue(leased.task, None);
-                self.lose_to_newer_owner(on);
+                self.lose_to_newer_owner(now, on);
             }
             Some(OrderRefusal::OtherLife) => {
                 self.requeue(leased.task, None);
@@ -182,7 +185,7 @@
         match answer {
             OrderAnswer::Done { .. } => self.stop_acknowledged(now, on, run),
             OrderAnswer::Refused { refusal, .. } => match refusal {
-                OrderRefusal::Fence => self.lose_to_newer_owner(on),
+                OrderRefusal::Fence => self.lose_to_newer_owner(now, on),
                 OrderRefusal::OtherLife => self.begin_life(now, on, None),
                 _ => self.stop_later(now, on, run),
             },
@@ -260,7 +263,7 @@
 
     fn hold_refused(&mut self, now: Timestamp, on: LeasedUpstreamKey, refusal: OrderRefusal) {
         match refusal {
-            OrderRefusal::Fence => self.lose_to_newer_owner(on),
+            OrderRefusal::Fence => self.lose_to_newer_owner(now, on),
             OrderRefusal::OtherLife => {
                 self.begin_life(now, on, None);
                 self.hold(now, on);
@@ -368,6 +371,7 @@
             if upstream.runs.contains_key(&run) {
                 self.end_run(now, on, run, row.how);
             } else {
+                upstream.note_found_end(run, row.how);
                 found.push(FoundEnd {
                     run,
                     done: row.how == EndedHow::Done,
@@ -623,10 +627,11 @@
         upstream.clock = None;
         upstream.contact = Contact::Taking;
         upstream.strays.clear();
+        upstream.found_ends.clear();
     }
 
     /// Gives an upstream up to the instance that holds it under a higher fence.
-    fn lose_to_newer_owner(&mut self, on: LeasedUpstreamKey) {
+    fn lose_to_newer_owner(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
         let Some(upstream) = self.remove(on) else {
             return;
         };
@@ -634,7 +639,11 @@
         let runs = upstream.runs.len();
         tracing::warn!(upstream = %id, fence, runs, "upstream has a newer owner");
         self.lost.insert(id, fence);
+        self.lingering.retain(|_, until| *until > now);
         for leased in upstream.runs.into_values() {
+            if let Some(batch) = leased.dropped_from {
+                self.lingering.insert(batch, now + LINGERING);
+            }
             if let Some((key, task)) = leased.task {
                 self.report(key, task, RunEnd::TakenOver);
             }
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -594,7 +594,7 @@
             .map(|(key, peer)| (key, peer.incarnation))
             .collect();
         for (peer, incarnation) in peers {
-            let (held, highest_taken) = self.owner.held_of(incarnation);
+            let (held, highest_taken) = self.owner.held_of(self.now, incarnation);
             let report = PeerReport {
                 digest: digest.clone(),
                 held,
