--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -173,6 +173,7 @@
         } = new;
         let chain = longest_chain(&spec, &expected_runs);
         let objective = chain * queue.stretch_percent.max(100) / 100 + queue.target_duration;
+        let deadline = now + wait.saturating_sub(ANSWER_TIME);
         let tasks = (0..).zip(&spec.steps).flat_map(|(step, of)| {
             (0..of.tasks).map(move |index| HomeTask {
                 step,
@@ -189,8 +190,9 @@
             id,
             waiters: vec![request],
             accepted_at: now,
-            objective_at: now + objective,
-            deadline: now + wait.saturating_sub(ANSWER_TIME),
+            // An end after the caller has left meets no objective.
+            objective_at: deadline.min(now + objective),
+            deadline,
             expected_runs,
             open_by_step: spec.steps.iter().map(|step| step.tasks).collect(),
             open_tasks: tasks.len(),
@@ -202,7 +204,6 @@
             spec,
         };
         job.unblock();
-        let deadline = job.deadline;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.requests.insert(request, key);
