runs: keep a margin of three on declared run times before the caller's limit

Long jobs were started on slow upstreams whenever their declared time, off by two fifths, seemed to allow it.

--- a/lib/src/runs/upstream_choice.rs
+++ b/lib/src/runs/upstream_choice.rs
@@ -44,7 +44,7 @@
 /// hundredths: declared run times are off by about two fifths.
 ///
 /// The objective needs no such margin, since it grows with the true run time.
-const DECLARED_SAFETY_PERCENT: u32 = 200;
+const DECLARED_SAFETY_PERCENT: u32 = 300;
 
 /// The same margin for a run time that is known.
 const KNOWN_SAFETY_PERCENT: u32 = 108;
