--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -57,6 +57,8 @@
     Unclaimed(LeasedUpstreamKey),
     /// A stop that was not answered is ordered again.
     StopAgain(LeasedUpstreamKey, RunId),
+    /// Look at the progress of a run that has just begun.
+    Probe(LeasedUpstreamKey),
     /// An upstream may take tasks again, or a queued task is too late.
     Dispatch,
 }
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -51,6 +51,12 @@
 /// How long a dropped run may last under a newer owner: that owner stops what no home claims.
 const LINGERING: Duration = Duration::from_millis(600);
 
+/// The expected run time from which a run is looked at early: a wrong upstream costs most there.
+const LONG_RUN: Duration = Duration::from_millis(400);
+
+/// How long after its start the progress of a long run tells its end to about a tenth.
+const FIRST_PROGRESS: Duration = Duration::from_millis(130);
+
 /// How long homes may take to claim runs that were found on an upstream.
 ///
 /// A message and its answer take a few milliseconds; a busy instance some tens.
@@ -102,6 +108,10 @@
             OrderAnswer::Done { .. } | OrderAnswer::Held(_) => {
                 if leased.phase == RunPhase::Starting {
                     leased.phase = RunPhase::Active { since: now };
+                    if leased.expected_run >= LONG_RUN {
+                        let probe = OwnerTimer::Probe(on);
+                        self.timers.subscribe(now + FIRST_PROGRESS, probe);
+                    }
                 }
             }
             OrderAnswer::Lost => {
@@ -692,6 +702,7 @@
                 OwnerTimer::Lapse(on) => self.lapse(now, on),
                 OwnerTimer::Unclaimed(on) => self.stop_unclaimed(now, on),
                 OwnerTimer::StopAgain(on, run) => self.stop_again(now, on, run),
+                OwnerTimer::Probe(on) => self.probe(now, on),
                 OwnerTimer::Dispatch => self.mark_dirty(),
             }
         }
