--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -525,6 +525,9 @@
     /// The most tasks of the step on one upstream.
     #[prost(uint32, optional, tag = "6")]
     pub most_per_upstream: ::core::option::Option<u32>,
+    /// The run time that the caller declared, zero when none.
+    #[prost(uint64, tag = "7")]
+    pub declared_run_us: u64,
 }
 /// One task of a batch.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -13,6 +13,7 @@
 mod home_job;
 pub mod intended_state;
 pub mod job_spec;
+mod learned_speed;
 mod leased_run;
 mod leased_upstream;
 pub mod listed_upstream;
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -35,6 +35,15 @@
     pub(crate) tasks: Vec<HeldTask>,
     pub(crate) open_tasks: usize,
     pub(crate) unreported: Vec<TaskEnd>,
+    pub(crate) done_runs: Vec<DoneRun>,
+}
+
+/// A run of a batch that is done.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DoneRun {
+    pub(crate) step: u32,
+    pub(crate) on: LeasedUpstreamKey,
+    pub(crate) took: Duration,
 }
 
 /// One task of a batch.
@@ -85,6 +94,7 @@
             open_tasks: tasks.len(),
             tasks,
             unreported: Vec::new(),
+            done_runs: Vec::new(),
         })
     }
 
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -183,6 +183,7 @@
                 step,
                 room: spec.room,
                 expected_run: self.expected_runs[step as usize],
+                declared_run: spec.declared_run,
                 required_label: spec.required_label.clone(),
                 data_rack: spec.data_rack.clone(),
                 most_per_upstream: spec.most_per_upstream,
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::learned_speed::LearnedSpeed;
 use super::leased_run::LeasedRun;
 use super::listed_upstream::ListedUpstream;
 use super::resources::Resources;
@@ -15,16 +16,6 @@
 use crate::health::UpstreamHealth;
 use crate::time::Timestamp;
 
-/// The least weight of one run in the learned slowness: declared run times are off by two fifths,
-/// which a mean over twenty runs brings below a tenth.
-const SLOWNESS_WEIGHT: f64 = 0.05;
-
-/// How many runs of usual speed an upstream is believed to have had at first.
-const PRIOR_RUNS: f64 = 4.0;
-
-/// The bounds of one run's share in the learned slowness, so that one odd run says little.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 8.0);
-
 /// The most ends of others' runs that are remembered, more than an upstream runs at a time.
 const MAX_FOUND_ENDS: usize = 64;
 
@@ -66,9 +57,7 @@
     /// The last ends of runs that this instance did not order.
     pub(crate) found_ends: IndexMap<RunId, EndedHow>,
     pub(crate) health: UpstreamHealth,
-    pub(crate) slowness: f64,
-    /// The runs behind `slowness`.
-    measured_runs: f64,
+    pub(crate) speed: LearnedSpeed,
     /// Whether a hold is under way.
     pub(crate) is_held: bool,
 }
@@ -88,8 +77,7 @@
             strays: IndexMap::new(),
             found_ends: IndexMap::new(),
             health: UpstreamHealth::default(),
-            slowness: 1.0,
-            measured_runs: 0.0,
+            speed: LearnedSpeed::default(),
             is_held: false,
         }
     }
@@ -138,22 +126,4 @@
             self.found_ends.shift_remove_index(0);
         }
     }
-
-    /// The slowness in hundredths.
-    pub(crate) fn slowness_percent(&self) -> u32 {
-        (self.slowness * 100.0).round() as u32
-    }
-
-    /// Learns from a run that is done.
-    pub(crate) fn record_run(&mut self, expected: Duration, took: Duration) {
-        if expected.is_zero() {
-            return;
-        }
-        let ratio = took.as_secs_f64() / expected.as_secs_f64();
-        let (least, most) = SLOWNESS_BOUNDS;
-        let ratio = ratio.clamp(least, most);
-        self.measured_runs += 1.0;
-        let weight = (1.0 / (self.measured_runs + PRIOR_RUNS)).max(SLOWNESS_WEIGHT);
-        self.slowness = self.slowness.powf(1.0 - weight) * ratio.powf(weight);
-    }
 }
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -6,12 +6,14 @@
 use indexmap::IndexMap;
 use slotmap::SlotMap;
 
+use super::held_batch::DoneRun;
 use super::held_batch::HeldBatch;
 use super::held_batch::HeldState;
 use super::held_batch::TaskIndex;
 use super::held_queue::HeldOrder;
 use super::held_queue::LeastSlack;
 use super::held_queue::QueuedView;
+use super::learned_speed::log_s;
 use super::leased_run::LeasedRun;
 use super::leased_run::RunPhase;
 use super::leased_run::StopReason;
@@ -577,7 +579,7 @@
             candidates.push(RoomyUpstream {
                 avoided: avoid.contains(&upstream.listed.id),
                 far_from_data: rack.is_some_and(|rack| !upstream.has_label(rack)),
-                slowness_percent: upstream.slowness_percent(),
+                slowness_percent: upstream.speed.slowness_percent(),
                 left_millicores: free.minus(demand.room).cpu_millicores,
                 distance: 0,
             });
@@ -615,14 +617,14 @@
         batch.tasks[task].state = HeldState::Running(on);
         let lease = self.lease;
         let upstream = &mut self.upstreams[on];
-        let expected = expected.mul_f64(upstream.slowness);
+        let expected = expected.mul_f64(upstream.speed.slowness());
         let Some(lease_until_ms) = upstream.extend_lease(now, lease) else {
             return self.requeue(Some((key, task)), None);
         };
         let leased = LeasedRun::starting((key, task), room, expected, now);
         upstream.runs.insert(run, leased);
         let fence = upstream.fence;
-        let slowness_percent = upstream.slowness_percent();
+        let slowness_percent = upstream.speed.slowness_percent();
         tracing::info!(
             job = %run.task.job, run = %run, upstream = %upstream.listed.id, fence, waited_ms,
             expected_ms = whole_ms(expected), slowness_percent, free_millicores = upstream.free().cpu_millicores,
@@ -692,6 +694,52 @@
         });
     }
 
+    /// Learns the speeds of the upstreams that ran a batch once its last task is done: tasks of
+    /// one step take nearly the same.
+    pub(crate) fn learn_speeds(
+        &mut self,
+        on: LeasedUpstreamKey,
+        key: HeldBatchKey,
+        task: TaskIndex,
+        took: Duration,
+    ) {
+        let Some(batch) = self.batches.get_mut(key) else {
+            return;
+        };
+        let step = batch.tasks[task].placed.step;
+        batch.done_runs.push(DoneRun { step, on, took });
+        if batch.open_tasks > 1 {
+            return;
+        }
+        let done_runs = std::mem::take(&mut batch.done_runs);
+        let demands = std::mem::take(&mut batch.demands);
+        for demand in &demands {
+            let of_step = done_runs.iter().filter(|run| run.step == demand.step);
+            let of_step: Vec<&DoneRun> = of_step.collect();
+            self.learn_from_step(demand.declared_run, &of_step);
+        }
+    }
+
+    fn learn_from_step(&mut self, declared: Duration, runs: &[&DoneRun]) {
+        let at_usual_speed = |run: &DoneRun| {
+            let upstream = self.upstreams.get(run.on);
+            let log_slowness = upstream.map_or(0.0, |on| on.speed.log_slowness());
+            log_s(run.took) - log_slowness
+        };
+        let logs: Vec<f64> = runs.iter().map(|run| at_usual_speed(run)).collect();
+        let sum: f64 = logs.iter().sum();
+        let siblings = runs.len().saturating_sub(1);
+        for (run, log) in runs.iter().zip(logs) {
+            let Some(upstream) = self.upstreams.get_mut(run.on) else {
+                continue;
+            };
+            let mean = (sum - log) / siblings.max(1) as f64;
+            upstream.speed.observe_beside(run.took, mean, siblings);
+            let speed = &mut upstream.speed;
+            speed.observe_declared(declared, run.took, runs.len());
+        }
+    }
+
     /// Takes back ejections that the limits do not allow.
     pub(crate) fn review_ejections(&mut self, now: Timestamp, service: &str) {
         let of_service = self.upstreams.values_mut();
@@ -718,7 +766,7 @@
             if upstream.takes_work(now) {
                 load.free.push(FreeUpstream {
                     room: upstream.free(),
-                    slowness_percent: upstream.slowness_percent(),
+                    slowness_percent: upstream.speed.slowness_percent(),
                 });
             }
         }
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -408,9 +408,7 @@
             EndedHow::Done => {
                 // Its queue is looked at again after every end, restored or not.
                 let _ = upstream.health.on_success(now);
-                let expected = leased.expected_run.div_f64(upstream.slowness);
-                upstream.record_run(expected, took);
-                let work = took.div_f64(upstream.slowness);
+                let work = took.div_f64(upstream.speed.slowness());
                 RunEnd::Done { work }
             }
             EndedHow::Failed => {
@@ -420,13 +418,16 @@
                 RunEnd::Failed { upstream: id }
             }
             EndedHow::Stopped if leased.is_stopped_as_too_long() => RunEnd::TooLong {
-                work: leased.predicted_run().div_f64(upstream.slowness),
+                work: leased.predicted_run().div_f64(upstream.speed.slowness()),
                 upstream: id,
             },
             EndedHow::Stopped | EndedHow::Lapsed | EndedHow::Other => RunEnd::Lost { upstream: id },
         };
         self.mark_dirty();
         if let Some((key, task)) = leased.task {
+            if how == EndedHow::Done {
+                self.learn_speeds(on, key, task, took);
+            }
             self.report(key, task, end);
         }
     }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -108,6 +108,8 @@
     pub room: Resources,
     /// The expected run time of one task.
     pub expected_run: Duration,
+    /// The run time that the caller declared, zero when none.
+    pub declared_run: Duration,
     /// A label that the upstream must have.
     pub required_label: Option<Arc<str>>,
     /// The rack where the data is.
