--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -91,9 +91,6 @@
     expected: &[Duration],
     wait: Duration,
 ) -> Result<(), RunAnswer> {
-    if views.is_empty() {
-        return Err(not_run(NotRun::NoUpstreamInReach, Some(MIN_RETRY_AFTER)));
-    }
     let mut longest_wait = Duration::ZERO;
     for (step, run) in spec.steps.iter().zip(expected) {
         if !step.after.is_empty() {
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -58,6 +58,8 @@
     pub(crate) found_ends: IndexMap<RunId, EndedHow>,
     pub(crate) health: UpstreamHealth,
     pub(crate) speed: LearnedSpeed,
+    /// Whether the last hold was not answered.
+    pub(crate) has_missed: bool,
     /// Whether a hold is under way.
     pub(crate) is_held: bool,
 }
@@ -78,6 +80,7 @@
             found_ends: IndexMap::new(),
             health: UpstreamHealth::default(),
             speed: LearnedSpeed::default(),
+            has_missed: false,
             is_held: false,
         }
     }
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -29,9 +29,10 @@
 use crate::health::HealthChange;
 use crate::time::Timestamp;
 
-/// How long a hold waits for an end while something runs: a quarter of the longest lease, so that
-/// three holds may fail before a lease runs out.
-pub(crate) const BUSY_HOLD: Duration = Duration::from_millis(250);
+/// How long a hold waits for an end while something runs.
+///
+/// Most are answered sooner, by an end. One whose answer is lost delays the ends by this time.
+pub(crate) const BUSY_HOLD: Duration = Duration::from_millis(120);
 
 /// How long a hold waits for an end while nothing runs; a start lasts longer by itself.
 pub(crate) const IDLE_HOLD: Duration = Duration::from_millis(500);
@@ -46,7 +47,7 @@
 const IDLE_SILENT_RETRY: Duration = Duration::from_millis(400);
 
 /// How long after a stop without an answer it is ordered again.
-const STOP_RETRY: Duration = Duration::from_millis(100);
+const STOP_RETRY: Duration = Duration::from_millis(40);
 
 /// How long a dropped run may last under a newer owner: that owner stops what no home claims.
 const LINGERING: Duration = Duration::from_millis(600);
@@ -249,8 +250,19 @@
             OrderAnswer::Refused { refusal, .. } => {
                 self.hold_refused(now, on, refusal);
             }
-            _ => self.fall_silent(now, on),
+            _ => self.hold_missed(now, on),
+        }
+    }
+
+    /// Looks again at once after a hold without an answer: one may be lost on its way.
+    fn hold_missed(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let upstream = &mut self.upstreams[on];
+        let is_first = upstream.contact == Contact::InTouch && !upstream.has_missed;
+        upstream.has_missed = true;
+        if is_first {
+            return self.hold(now, on);
         }
+        self.fall_silent(now, on);
     }
 
     fn probe_answered(
@@ -267,7 +279,18 @@
             OrderAnswer::Refused { refusal, .. } => {
                 self.hold_refused(now, on, refusal);
             }
-            _ => self.fall_silent(now, on),
+            // The hold beside it tells whether the upstream is silent.
+            _ => self.retry_probe(now, on),
+        }
+    }
+
+    /// Looks once more soon where a start or a stop still waits to be confirmed.
+    fn retry_probe(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
+        let mut runs = self.upstreams[on].runs.values();
+        let is_unclear = runs.any(|run| !matches!(run.phase, RunPhase::Active { .. }));
+        if is_unclear {
+            let probe = OwnerTimer::Probe(on);
+            self.timers.subscribe(now + STOP_RETRY, probe);
         }
     }
 
@@ -297,6 +320,7 @@
         }
         upstream.is_held = true;
         let wait = match upstream.contact {
+            Contact::InTouch if upstream.has_missed => Duration::ZERO,
             Contact::InTouch if upstream.runs.is_empty() => IDLE_HOLD,
             Contact::InTouch => BUSY_HOLD,
             _ => Duration::ZERO,
@@ -345,6 +369,7 @@
         let upstream = &mut self.upstreams[on];
         upstream.born_unix_ms = report.born_unix_ms.or(upstream.born_unix_ms);
         upstream.clock = Some(UpstreamClock::new(report.clock_ms, now));
+        upstream.has_missed = false;
         if upstream.contact != Contact::InTouch {
             tracing::info!(upstream = %upstream.listed.id, "upstream in touch");
             upstream.contact = Contact::InTouch;
@@ -521,7 +546,8 @@
         let id = upstream.listed.id.clone();
         tracing::info!(job = %run.task.job, run = %run, upstream = %id, "start withdrawn");
         if let Some(leased) = upstream.runs.swap_remove(&run) {
-            self.requeue(leased.task, Some(id));
+            // The upstream refuses this number from now on.
+            self.end_task(leased.task, NotStarted::OldRun);
         }
     }
 
