--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -5,6 +5,7 @@
 use super::held_batch::TaskIndex;
 use super::resources::Resources;
 use super::run_id::HeldBatchKey;
+use super::run_id::OrderId;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
 
@@ -51,20 +52,20 @@
     Starting,
     /// It runs.
     Active {
-        /// When the start was answered.
-        since: Timestamp,
+        /// The first order that was given after this was known.
+        from: OrderId,
     },
     /// The start was not answered: it may run, and may start later.
     Uncertain {
-        /// When the answer was given up.
-        since: Timestamp,
+        /// The first order that was given after the answer was given up.
+        from: OrderId,
     },
     /// A stop was ordered.
     Stopping {
         /// Why.
         reason: StopReason,
-        /// When the upstream answered the stop.
-        acknowledged_at: Option<Timestamp>,
+        /// The first order that was given after the upstream had answered the stop.
+        acknowledged: Option<OrderId>,
     },
 }
 
@@ -112,13 +113,13 @@
     }
 
     /// Takes in that it was listed as running.
-    pub(crate) fn note_running(&mut self, now: Timestamp, percent: u8) {
+    pub(crate) fn note_running(&mut self, now: Timestamp, from: OrderId, percent: u8) {
         if percent != self.percent {
             self.percent = percent;
             self.progressed_at = now;
         }
         if let RunPhase::Starting | RunPhase::Uncertain { .. } = self.phase {
-            self.phase = RunPhase::Active { since: now };
+            self.phase = RunPhase::Active { from };
         }
     }
 
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -9,6 +9,7 @@
 use super::leased_run::LeasedRun;
 use super::listed_upstream::ListedUpstream;
 use super::resources::Resources;
+use super::run_id::OrderId;
 use super::run_id::RunId;
 use super::run_order::EndedHow;
 use super::upstream_clock::UpstreamClock;
@@ -36,7 +37,8 @@
 /// A run that is listed and that nobody here ordered.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stray {
-    pub(crate) found_at: Timestamp,
+    /// The first order that was given after it was seen.
+    pub(crate) seen_before: OrderId,
     pub(crate) asked: bool,
 }
 
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -349,7 +349,9 @@
         }
         batch.tasks[task].state = HeldState::Running(on);
         let mut leased = LeasedRun::starting((key, task), room, expected_run, now);
-        leased.phase = RunPhase::Active { since: now };
+        leased.phase = RunPhase::Active {
+            from: OrderId(self.next_order),
+        };
         upstream.runs.insert(run, leased);
         tracing::info!(run = %run, upstream = id, "run adopted");
         true
@@ -513,6 +515,11 @@
         self.queue.push((key, task));
     }
 
+    /// The number of the next order: orders from it on are given after what is known now.
+    pub(crate) fn next_order(&self) -> OrderId {
+        OrderId(self.next_order)
+    }
+
     /// Marks the queue for another look.
     pub(crate) fn mark_dirty(&mut self) {
         self.is_dirty = true;
@@ -679,7 +686,7 @@
             }
             leased.phase = RunPhase::Stopping {
                 reason,
-                acknowledged_at: None,
+                acknowledged: None,
             };
         }
         tracing::info!(
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -63,6 +63,16 @@
 /// A message and its answer take a few milliseconds; a busy instance some tens.
 const CLAIM_TIME: Duration = Duration::from_millis(250);
 
+/// How long nobody may have listened for an end whose time still counts as known.
+const LISTENING_GAP: Duration = Duration::from_millis(20);
+
+/// The order that an upstream answered with a list.
+#[derive(Clone, Copy, Debug)]
+struct Look {
+    order: OrderId,
+    sent_at: Timestamp,
+}
+
 impl Owner {
     /// Takes in what came back of an order.
     pub(crate) fn order_answered(&mut self, now: Timestamp, order: OrderId, answer: OrderAnswer) {
@@ -79,9 +89,19 @@
             PendingKind::Stop(run) => self.stop_answered(now, on, run, &answer),
             PendingKind::Hold => {
                 self.upstreams[on].is_held = false;
-                self.hold_answered(now, on, pending.sent_at, answer);
+                let look = Look {
+                    order,
+                    sent_at: pending.sent_at,
+                };
+                self.hold_answered(now, on, look, answer);
+            }
+            PendingKind::Probe => {
+                let look = Look {
+                    order,
+                    sent_at: pending.sent_at,
+                };
+                self.probe_answered(now, on, look, answer);
             }
-            PendingKind::Probe => self.probe_answered(now, on, pending.sent_at, answer),
         }
     }
 
@@ -102,13 +122,14 @@
         run: RunId,
         answer: OrderAnswer,
     ) {
+        let from = self.next_order();
         let Some(leased) = self.upstreams[on].runs.get_mut(&run) else {
             return;
         };
         match answer {
             OrderAnswer::Done { .. } | OrderAnswer::Held(_) => {
                 if leased.phase == RunPhase::Starting {
-                    leased.phase = RunPhase::Active { since: now };
+                    leased.phase = RunPhase::Active { from };
                     if leased.expected_run >= LONG_RUN {
                         let probe = OwnerTimer::Probe(on);
                         self.timers.subscribe(now + FIRST_PROGRESS, probe);
@@ -118,7 +139,7 @@
             OrderAnswer::Lost => {
                 if leased.phase == RunPhase::Starting {
                     tracing::warn!(job = %run.task.job, run = %run, "start not answered");
-                    leased.phase = RunPhase::Uncertain { since: now };
+                    leased.phase = RunPhase::Uncertain { from };
                 }
                 self.probe(now, on);
             }
@@ -205,17 +226,18 @@
     }
 
     fn stop_acknowledged(&mut self, now: Timestamp, on: LeasedUpstreamKey, run: RunId) {
+        let from = self.next_order();
         let Some(leased) = self.upstreams[on].runs.get_mut(&run) else {
             return;
         };
         let RunPhase::Stopping {
-            acknowledged_at,
+            acknowledged,
             reason,
         } = &mut leased.phase
         else {
             return;
         };
-        *acknowledged_at = Some(now);
+        *acknowledged = Some(from);
         let may_not_have_started = *reason == StopReason::Uncertain;
         if may_not_have_started {
             self.probe(now, on);
@@ -231,13 +253,13 @@
         &mut self,
         now: Timestamp,
         on: LeasedUpstreamKey,
-        sent_at: Timestamp,
+        look: Look,
         answer: OrderAnswer,
     ) {
         match answer {
             OrderAnswer::Held(report) => {
-                let brought_news = self.take_report(now, on, sent_at, report);
-                let came_early = now.since(sent_at) < HOLD_GAP;
+                let brought_news = self.take_report(now, on, look, report);
+                let came_early = now.since(look.sent_at) < HOLD_GAP;
                 if !self.upstreams.contains_key(on) {
                     return;
                 }
@@ -269,12 +291,12 @@
         &mut self,
         now: Timestamp,
         on: LeasedUpstreamKey,
-        sent_at: Timestamp,
+        look: Look,
         answer: OrderAnswer,
     ) {
         match answer {
             OrderAnswer::Held(report) => {
-                self.take_report(now, on, sent_at, report);
+                self.take_report(now, on, look, report);
             }
             OrderAnswer::Refused { refusal, .. } => {
                 self.hold_refused(now, on, refusal);
@@ -355,7 +377,7 @@
         &mut self,
         now: Timestamp,
         on: LeasedUpstreamKey,
-        sent_at: Timestamp,
+        look: Look,
         report: HoldReport,
     ) -> bool {
         let upstream = &mut self.upstreams[on];
@@ -367,16 +389,18 @@
         upstream.born_unix_ms = report.born_unix_ms.or(upstream.born_unix_ms);
         upstream.clock = Some(UpstreamClock::new(report.clock_ms, now));
         upstream.has_missed = false;
+        // A hold that waits is answered by the end itself.
+        let is_exact = look.sent_at.since(upstream.reported_at) <= LISTENING_GAP;
         upstream.reported_at = now;
         if upstream.contact != Contact::InTouch {
             tracing::info!(upstream = %upstream.listed.id, "upstream in touch");
             upstream.contact = Contact::InTouch;
             self.mark_dirty();
         }
-        let (brought_news, found) = self.take_ends(now, on, &report.ended);
-        self.take_running(now, on, sent_at, &report.running);
-        self.find_vanished(now, on, sent_at, &report.running);
-        self.announce_strays(now, on, sent_at, first, found);
+        let (brought_news, found) = self.take_ends(now, on, is_exact, &report.ended);
+        self.take_running(now, on, look, &report.running);
+        self.find_vanished(now, on, look, &report.running);
+        self.announce_strays(now, on, look, first, found);
         self.drop_if_released(on);
         brought_news
     }
@@ -386,6 +410,7 @@
         &mut self,
         now: Timestamp,
         on: LeasedUpstreamKey,
+        is_exact: bool,
         ended: &[EndedRow],
     ) -> (bool, Vec<FoundEnd>) {
         let mut brought_news = false;
@@ -402,7 +427,7 @@
             };
             upstream.strays.swap_remove(&run);
             if upstream.runs.contains_key(&run) {
-                self.end_run(now, on, run, row.how);
+                self.end_run(now, on, run, row.how, is_exact);
             } else {
                 upstream.note_found_end(run, row.how);
                 found.push(FoundEnd {
@@ -415,7 +440,14 @@
         (brought_news, found)
     }
 
-    fn end_run(&mut self, now: Timestamp, on: LeasedUpstreamKey, run: RunId, how: EndedHow) {
+    fn end_run(
+        &mut self,
+        now: Timestamp,
+        on: LeasedUpstreamKey,
+        run: RunId,
+        how: EndedHow,
+        is_exact: bool,
+    ) {
         let upstream = &mut self.upstreams[on];
         let Some(leased) = upstream.runs.swap_remove(&run) else {
             return;
@@ -431,7 +463,10 @@
             EndedHow::Done => {
                 // Its queue is looked at again after every end, restored or not.
                 let _ = upstream.health.on_success(now);
-                let work = took.div_f64(upstream.speed.slowness());
+                let work = match is_exact {
+                    true => took.div_f64(upstream.speed.slowness()),
+                    false => Duration::ZERO,
+                };
                 RunEnd::Done { work }
             }
             EndedHow::Failed => {
@@ -447,7 +482,7 @@
         };
         self.mark_dirty();
         if let Some((key, task)) = leased.task {
-            if how == EndedHow::Done {
+            if how == EndedHow::Done && is_exact {
                 self.learn_speeds(on, key, task, took);
             }
             self.report(key, task, end);
@@ -458,15 +493,16 @@
         &mut self,
         now: Timestamp,
         on: LeasedUpstreamKey,
-        sent_at: Timestamp,
+        look: Look,
         running: &[RunningRow],
     ) {
         let mut hopeless = Vec::new();
+        let from = self.next_order();
         let upstream = &mut self.upstreams[on];
         for row in running {
             match upstream.runs.get_mut(&row.run) {
                 Some(leased) => {
-                    leased.note_running(now, row.percent);
+                    leased.note_running(now, from, row.percent);
                     let deadline = leased.task.and_then(|(batch, _)| self.batches.get(batch));
                     let deadline = deadline.map(|batch| batch.deadline);
                     if let Some(reason) = reason_to_stop(leased, now, deadline) {
@@ -475,7 +511,7 @@
                 }
                 None => {
                     upstream.strays.entry(row.run).or_insert(Stray {
-                        found_at: now,
+                        seen_before: from,
                         asked: false,
                     });
                 }
@@ -485,7 +521,7 @@
         let is_listed = |run: &RunId| running.iter().any(|row| row.run == *run);
         upstream
             .strays
-            .retain(|run, stray| is_listed(run) || stray.found_at > sent_at);
+            .retain(|run, stray| is_listed(run) || look.order < stray.seen_before);
         for (run, reason) in hopeless {
             self.stop_hopeless(now, on, run, reason);
         }
@@ -525,7 +561,7 @@
         &mut self,
         now: Timestamp,
         on: LeasedUpstreamKey,
-        sent_at: Timestamp,
+        look: Look,
         running: &[RunningRow],
     ) {
         let is_listed = |run: &RunId| running.iter().any(|row| row.run == *run);
@@ -535,16 +571,16 @@
             missing.map(|(run, leased)| (*run, leased.phase)).collect();
         for (run, phase) in missing {
             match phase {
-                RunPhase::Active { since } if since < sent_at => {
+                RunPhase::Active { from } if look.order >= from => {
                     self.lose_run(on, run, "vanished");
                 }
-                RunPhase::Uncertain { since } if since < sent_at => {
+                RunPhase::Uncertain { from } if look.order >= from => {
                     self.stop(now, on, run, StopReason::Uncertain);
                 }
                 RunPhase::Stopping {
                     reason,
-                    acknowledged_at: Some(at),
-                } if at < sent_at => match reason {
+                    acknowledged: Some(from),
+                } if look.order >= from => match reason {
                     StopReason::Uncertain => self.take_back(on, run),
                     _ => self.lose_run(on, run, "stopped"),
                 },
@@ -591,14 +627,14 @@
         &mut self,
         now: Timestamp,
         on: LeasedUpstreamKey,
-        sent_at: Timestamp,
+        look: Look,
         first: bool,
         ended: Vec<FoundEnd>,
     ) {
         let upstream = &mut self.upstreams[on];
         let mut running = Vec::new();
         for (run, stray) in &mut upstream.strays {
-            if !stray.asked && (first || stray.found_at < sent_at) {
+            if !stray.asked && (first || look.order >= stray.seen_before) {
                 stray.asked = true;
                 running.push(*run);
             }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -158,7 +158,7 @@
 pub enum RunEnd {
     /// The task is done.
     Done {
-        /// What it would have taken on an upstream of usual speed.
+        /// What it would have taken on an upstream of usual speed; zero when that is not known.
         work: Duration,
     },
     /// The task failed on this upstream.
