--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::held_batch::LEAST_RUN;
 use super::home::NewJob;
 use super::home::RETRY_AFTER_OVERLOAD;
 use super::home::longest_chain;
@@ -18,9 +19,6 @@
 use super::upstream_choice::SeekingTask;
 use crate::id::RequestId;
 
-/// The share of its expected chain that a job needs at the least.
-const LEAST_CHAIN: f64 = 0.6;
-
 /// The shortest advice to come back later.
 const MIN_RETRY_AFTER: Duration = RETRY_AFTER_OVERLOAD;
 
@@ -109,7 +107,7 @@
         }
     }
     let chain = longest_chain(spec, expected);
-    if longest_wait + chain.mul_f64(LEAST_CHAIN) > wait {
+    if longest_wait + chain.mul_f64(LEAST_RUN) > wait {
         let retry_after = longest_wait.max(MIN_RETRY_AFTER);
         return Err(not_run(NotRun::Overloaded, Some(retry_after)));
     }
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -127,8 +127,12 @@
     /// The latest time at which a task may start and still end before its caller leaves.
     pub(crate) fn start_by(&self, task: TaskIndex) -> Timestamp {
         let left = self.deadline.since(Timestamp::ZERO);
-        let expected = self.expected_run(task);
-        Timestamp::ZERO + left.saturating_sub(expected.mul_f64(FASTEST_RUN))
+        let share = match self.tasks[task].placed.known_run {
+            Some(_) => LEAST_KNOWN_RUN,
+            None => LEAST_RUN,
+        };
+        let least = self.expected_run(task).mul_f64(share);
+        Timestamp::ZERO + left.saturating_sub(least)
     }
 
     /// How long until the job is to end, zero once that has passed.
@@ -145,10 +149,12 @@
     }
 }
 
-/// The share of its expected run time that a task may take on a fast upstream.
-///
-/// Upstreams run up to a quarter faster than the usual one, and figures are rough.
-const FASTEST_RUN: f64 = 0.6;
+/// The share of its expected run time that a task needs at the least: upstreams run up to a
+/// quarter faster than the usual one, and a declared time may be twice the true one.
+pub(crate) const LEAST_RUN: f64 = 0.4;
+
+/// The share of a known run time that a task needs at the least.
+pub(crate) const LEAST_KNOWN_RUN: f64 = 0.78;
 
 /// The work of a task in milliseconds of one core.
 pub(crate) fn core_ms(cpu_millicores: u32, run: Duration) -> u64 {
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -570,6 +570,21 @@
         }
     }
 
+    /// Gives up jobs of which a task waits that could no longer end in time.
+    pub(crate) fn end_hopeless(&mut self, now: Timestamp) {
+        let hopeless = self.jobs.iter().filter(|(_, job)| {
+            let mut tasks = (0..job.tasks.len()).filter(|task| {
+                let state = &job.tasks[*task];
+                state.state == HomeState::Waiting && state.known_run.is_some()
+            });
+            tasks.any(|task| now + job.least_run(task) > job.deadline)
+        });
+        let hopeless: Vec<HomeJobKey> = hopeless.map(|(key, _)| key).collect();
+        for key in hopeless {
+            self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
+        }
+    }
+
     /// Takes back a batch that was never sent.
     pub(crate) fn take_unsent(&mut self, now: Timestamp, owner: OwnerRef, number: u64) {
         let Some(batch) = self.batches.swap_remove(&(owner, number)) else {
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::held_batch::LEAST_KNOWN_RUN;
+use super::held_batch::LEAST_RUN;
 use super::intended_state::JobQueueSettings;
 use super::job_spec::JobSpec;
 use super::run_answer::GivenUp;
@@ -187,16 +189,9 @@
     }
 }
 
-/// The share of its expected run time that a task needs at the least: upstreams run up to a
-/// quarter faster than the usual one, and figures are rough.
-const LEAST_RUN: f64 = 0.6;
-
 /// How much longer than expected a run must be to be doubted.
 const SUSPICIOUS_FACTOR: u32 = 3;
 
-/// The share of a known run time that a task needs at the least.
-const LEAST_KNOWN_RUN: f64 = 0.78;
-
 impl HomeJob {
     /// The message that hands tasks to an owner.
     pub(crate) fn to_batch(&self, now: Timestamp, number: u64, tasks: &[usize]) -> RunBatch {
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -325,6 +325,7 @@
                 .push(RunAction::RemoveMember { name, row_version });
         }
         self.reject_unplaceable();
+        self.home.end_hopeless(self.now);
         self.home.mark_dirty();
         self.send_reports();
     }
@@ -546,6 +547,7 @@
             self.send(peer, request);
         }
         self.peers.peers[peer].digest = digest;
+        self.home.mark_dirty();
     }
 
     fn send_intended(&mut self, peer: PeerKey, have_version: u64) {
--- a/lib/src/runs/spread.rs
+++ b/lib/src/runs/spread.rs
@@ -84,6 +84,10 @@
         let wait = Duration::ZERO;
         return Some(Choice { view, wait });
     }
+    if task.is_run_known {
+        // Only an upstream that is fast enough helps, and none is free: the home looks again.
+        return None;
+    }
     let waiting = views.iter().enumerate();
     let waiting = waiting.filter(|(_, view)| room.fits(view.total));
     let (view, least) = waiting.min_by_key(|(_, view)| (view.pressure(), view.distance))?;
