--- a/lib/testsupport/src/lib.rs
+++ b/lib/testsupport/src/lib.rs
@@ -32,6 +32,7 @@
 pub use crate::process::free_address;
 pub use crate::process::workspace_binary;
 pub use crate::raw_server::RawServer;
+pub use crate::server::Server;
 pub use crate::upstream::StartsReport;
 pub use crate::upstream::StopRequest;
 pub use crate::upstream::TaskStarts;
--- a/lib/testsupport/src/server.rs
+++ b/lib/testsupport/src/server.rs
@@ -8,14 +8,18 @@
 use trillium_server_common::ServerHandle;
 
 /// A running HTTP server.
-pub(crate) struct Server {
+pub struct Server {
     address: SocketAddr,
     handle: ServerHandle,
 }
 
 impl Server {
     /// Binds `listen`, where port 0 takes any free one, and serves on smol's global executor.
-    pub(crate) async fn start(listen: SocketAddr, handler: impl Handler) -> io::Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Why the address cannot be listened on.
+    pub async fn start(listen: SocketAddr, handler: impl Handler) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let handle = trillium_smol::config()
@@ -26,7 +30,8 @@
         Ok(Self { address, handle })
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
