runs: place a start again that was under way when its upstream got a newer owner

Found by the process test of a planned stop (owner_lost after 700 ms), whose log shows starts refused by the fence after the upstream had been given up: they never ran, and counted as taken over. The answer to such a start now decides. Test on the simulated site failed first; so did one for an instance that comes back from a cut without the store, whose siblings had forgotten it.

--- a/entry/tests/leased_site.rs
+++ b/entry/tests/leased_site.rs
@@ -42,7 +42,7 @@
     instances: Vec<Instance>,
 }
 
-/// Any host: the callers of these tests name the address that they call.
+/// A queue for each instance, since callers name the address that they call as their host.
 fn intended(version: u64, instances: &[Instance]) -> IntendedState {
     let queues = instances.iter().map(|instance| {
         let mut queue = run_queue("look", 0, 3);
@@ -51,7 +51,7 @@
     });
     IntendedState {
         version,
-        queues: queues.take(1).collect(),
+        queues: queues.collect(),
         services: vec![RunService {
             name: Arc::from("work"),
             guards_room: true,
@@ -70,7 +70,8 @@
         };
         for number in 0..upstreams {
             let run_time = Duration::from_millis(60);
-            let upstream = UpstreamStandIn::start(&format!("i-{number}"), "north", run_time).await?;
+            let upstream =
+                UpstreamStandIn::start(&format!("i-{number}"), "north", run_time).await?;
             site.store.put_upstream(&upstream.listed());
             site.upstreams.push(upstream);
         }
@@ -97,9 +98,12 @@
             "platform_address": self.store.address(),
             "leased_runs": { "ready_address": ready, "lease_ms": 1_000, "stop_grace_ms": 6_000 },
         });
-        let file = self.settings.path().join(format!("{number}-{}.json", callers.port()));
+        let file = self
+            .settings
+            .path()
+            .join(format!("{number}-{}.json", callers.port()));
         std::fs::write(&file, settings.to_string())?;
-        let binary = workspace_binary("almondhead")?;
+        let binary = workspace_binary("almondhead");
         let arguments = ["--settings".into(), file.into_os_string()];
         Ok(Instance {
             process: ProcessHandle::start(&binary, arguments)?,
@@ -155,13 +159,10 @@
         let starts = site.starts();
         assert_eq!(starts.len(), 40);
         assert!(starts.values().all(|times| *times == 1));
-        let unknown = submit(
-            site.instances[0].callers,
-            "/other/0000000000000001",
-            &run_job(1, 100, 10),
-            CALLER_WAIT,
-        );
-        assert_eq!(unknown.await?.status, 404);
+        let path = "/other/0000000000000001";
+        let job = run_job(1, 100, 10);
+        let unknown = submit(site.instances[0].callers, path, &job, CALLER_WAIT).await?;
+        assert_eq!(unknown.status, 404);
         Ok(())
     })
 }
@@ -177,7 +178,10 @@
         };
         site.store.set_fault(StoreFault::Silent);
         let mut instance = site.start_instance(0)?;
-        instance.process.wait_for_line("started", START_TIMEOUT).await?;
+        instance
+            .process
+            .wait_for_line("started", START_TIMEOUT)
+            .await?;
         site.instances.push(instance);
         let answer = site.ask(0, 1, 1).await.expect("an answer");
         assert_eq!(answer.status, 503);
@@ -212,7 +216,10 @@
             site.upstreams[0].set_fate(fate);
             let answer = site.ask(0, job, 8).await;
             site.upstreams[0].set_fate(OrderFate::Answered);
-            assert!(answer.is_some_and(|answer| answer.status != 429), "{fate:?}");
+            assert!(
+                answer.is_some_and(|answer| answer.status != 429),
+                "{fate:?}"
+            );
             Timer::after(Duration::from_millis(1_500)).await;
         }
         for upstream in &site.upstreams {
@@ -232,11 +239,14 @@
         let id = process.id();
         let stop = async {
             Timer::after(Duration::from_millis(30)).await;
-            std::process::Command::new("kill").args(["-TERM", &id.to_string()]).status()
+            std::process::Command::new("kill")
+                .args(["-TERM", &id.to_string()])
+                .status()
         };
         let (answer, stopped) = futures_lite::future::zip(asked, stop).await;
         assert!(stopped?.success());
-        assert!(is_completed(&answer), "{answer:?}");
+        let lines = site.instances[0].process.output().join("\n");
+        assert!(is_completed(&answer), "{answer:?}\n{lines}");
         let until = Instant::now() + Duration::from_secs(6);
         while site.instances[0].process.is_running() {
             assert!(Instant::now() < until, "still running");
@@ -277,10 +287,15 @@
         assert!(is_completed(&answer), "{answer:?}");
         Timer::after(Duration::from_millis(200)).await;
         let lines = site.instances[0].process.output();
-        let of_job = lines.iter().filter(|line| line.contains("0000000000000abc"));
+        let of_job = lines
+            .iter()
+            .filter(|line| line.contains("0000000000000abc"));
         let of_job: Vec<&String> = of_job.collect();
         for decision in ["tasks placed", "run ordered", "run ended", "job ended"] {
-            assert!(of_job.iter().any(|line| line.contains(decision)), "{decision}: {of_job:?}");
+            assert!(
+                of_job.iter().any(|line| line.contains(decision)),
+                "{decision}: {of_job:?}"
+            );
         }
         assert!(lines.iter().all(|line| line.starts_with('{')));
         let request = almondhead_net::HttpRequest::new(
@@ -291,7 +306,10 @@
         let client = almondhead_net::HttpClient::new(almondhead_net::HttpSettings::default());
         let scraped = client.send(request, Duration::from_secs(1)).await?;
         let text = String::from_utf8(scraped.body.to_vec())?;
-        assert!(text.contains("almondhead_run_answers_total{outcome=\"ended\"} 1"), "{text}");
+        assert!(
+            text.contains("almondhead_run_answers_total{outcome=\"ended\"} 1"),
+            "{text}"
+        );
         assert!(text.contains("almondhead_order_seconds_bucket"), "{text}");
         Ok(())
     })
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -121,6 +121,8 @@
     /// Dropped batches whose runs a newer owner has to end, and when they surely have ended.
     pub(crate) lingering: IndexMap<(Incarnation, u64), Timestamp>,
     pub(crate) orders: IndexMap<OrderId, PendingOrder>,
+    /// Starts under way to upstreams that have a newer owner.
+    pub(crate) orphan_starts: IndexMap<OrderId, (HeldBatchKey, TaskIndex)>,
     next_order: u64,
     /// Upstreams that were lost to a newer owner, with the version of the roster then in force.
     pub(crate) lost: IndexMap<Arc<str>, u64>,
@@ -145,6 +147,7 @@
             queue: Vec::new(),
             lingering: IndexMap::new(),
             orders: IndexMap::new(),
+            orphan_starts: IndexMap::new(),
             next_order: 1,
             lost: IndexMap::new(),
             order: Box::new(LeastSlack),
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use super::leased_run::LeasedRun;
 use super::leased_run::RunPhase;
 use super::leased_run::StopReason;
@@ -81,7 +83,7 @@
         };
         let on = pending.upstream;
         if !self.upstreams.contains_key(on) {
-            return;
+            return self.orphan_answered(order, &answer);
         }
         self.read_clock(now, on, &answer);
         match pending.kind {
@@ -105,6 +107,19 @@
         }
     }
 
+    /// Takes in what came of a start that was under way when its upstream got a newer owner.
+    fn orphan_answered(&mut self, order: OrderId, answer: &OrderAnswer) {
+        let Some((key, task)) = self.orphan_starts.swap_remove(&order) else {
+            return;
+        };
+        match answer {
+            OrderAnswer::Refused { .. } | OrderAnswer::NotSent => {
+                self.requeue(Some((key, task)), None);
+            }
+            _ => self.report(key, task, RunEnd::TakenOver),
+        }
+    }
+
     fn read_clock(&mut self, now: Timestamp, on: LeasedUpstreamKey, answer: &OrderAnswer) {
         let clock_ms = match answer {
             OrderAnswer::Done { clock_ms } | OrderAnswer::Refused { clock_ms, .. } => *clock_ms,
@@ -727,12 +742,27 @@
         tracing::warn!(upstream = %id, fence, runs, "upstream has a newer owner");
         self.lost.insert(id, fence);
         self.lingering.retain(|_, until| *until > now);
-        for leased in upstream.runs.into_values() {
+        let starts = self
+            .orders
+            .iter()
+            .filter_map(|(order, pending)| match pending.kind {
+                PendingKind::Start(run) if pending.upstream == on => Some((run, *order)),
+                _ => None,
+            });
+        let starts: IndexMap<RunId, OrderId> = starts.collect();
+        for (run, leased) in upstream.runs {
             if let Some(batch) = leased.dropped_from {
                 self.lingering.insert(batch, now + LINGERING);
             }
-            if let Some((key, task)) = leased.task {
-                self.report(key, task, RunEnd::TakenOver);
+            let Some((key, task)) = leased.task else {
+                continue;
+            };
+            match starts.get(&run) {
+                // Its answer tells whether it started.
+                Some(order) if leased.phase == RunPhase::Starting => {
+                    self.orphan_starts.insert(*order, (key, task));
+                }
+                _ => self.report(key, task, RunEnd::TakenOver),
             }
         }
     }
--- a/lib/src/runs/peer_table.rs
+++ b/lib/src/runs/peer_table.rs
@@ -25,6 +25,9 @@
 /// that its sender may have given up.
 pub(crate) const FRESH: Duration = Duration::from_millis(300);
 
+/// How long an instance is remembered that the roster lists no more.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
 /// The most ended runs of a process that are remembered.
 const MAX_PAST_RUNS: usize = 8;
 
@@ -35,7 +38,8 @@
     pub(crate) data_centre: Arc<str>,
     pub(crate) incarnation: Incarnation,
     pub(crate) address: SocketAddr,
-    pub(crate) is_listed: bool,
+    /// Since when the roster does not list it.
+    unlisted_since: Option<Timestamp>,
     pub(crate) is_leaving: bool,
     /// Its clock, and when that reading arrived.
     clock: Option<(Timestamp, Timestamp)>,
@@ -53,7 +57,7 @@
             data_centre: member.data_centre.clone(),
             incarnation: member.incarnation,
             address: member.peer_address,
-            is_listed: true,
+            unlisted_since: None,
             is_leaving: member.leaving,
             clock: None,
             heard_at: None,
@@ -129,10 +133,15 @@
     }
 
     /// Takes over the roster; gives the instances that are another run now or are gone.
-    pub(crate) fn update(&mut self, roster: &Roster, own: &str) -> Vec<(PeerKey, Incarnation)> {
+    pub(crate) fn update(
+        &mut self,
+        now: Timestamp,
+        roster: &Roster,
+        own: &str,
+    ) -> Vec<(PeerKey, Incarnation)> {
         let mut ended = Vec::new();
         for peer in self.peers.values_mut() {
-            peer.is_listed = false;
+            peer.unlisted_since.get_or_insert(now);
         }
         for member in roster.members.iter().filter(|member| &*member.name != own) {
             let Some(key) = self.by_name(&member.name) else {
@@ -141,7 +150,7 @@
                 continue;
             };
             let peer = &mut self.peers[key];
-            peer.is_listed = true;
+            peer.unlisted_since = None;
             peer.is_leaving = member.leaving;
             peer.address = member.peer_address;
             // A row may be older than the messages of the next run.
@@ -153,10 +162,15 @@
         ended
     }
 
-    /// Forgets instances that are listed no more and say nothing; gives them.
+    /// Forgets instances that are long listed no more and say nothing; gives them.
+    ///
+    /// One that was cut off from everything may come back before it reaches the store.
     pub(crate) fn drop_gone(&mut self, now: Timestamp) -> Vec<(PeerKey, Incarnation)> {
         let gone = self.peers.iter();
-        let gone = gone.filter(|(_, peer)| !peer.is_listed && !peer.is_heard(now));
+        let gone = gone.filter(|(_, peer)| {
+            let unlisted = peer.unlisted_since;
+            unlisted.is_some_and(|at| now.since(at) >= REMEMBERED) && !peer.is_heard(now)
+        });
         let gone: Vec<(PeerKey, Incarnation)> =
             gone.map(|(key, peer)| (key, peer.incarnation)).collect();
         for (key, _) in &gone {
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -272,7 +272,9 @@
         if !is_same {
             let members = self.roster.members.len();
             tracing::info!(version = self.roster.version, members, "roster changed");
-            let ended = self.peers.update(&self.roster, &self.settings.instance);
+            let ended = self
+                .peers
+                .update(self.now, &self.roster, &self.settings.instance);
             for (peer, incarnation) in ended {
                 self.lose_peer(peer, incarnation, self.now);
             }
--- a/lib/tests/upstream_owners.rs
+++ b/lib/tests/upstream_owners.rs
@@ -272,3 +272,43 @@
     assert_eq!(late.count(), 50);
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
+
+#[test]
+fn start_under_way_to_a_newer_owner_is_placed_again() {
+    let mut site = RunSite::start(&SitePlan {
+        data_centres: 1,
+        instances: 3,
+        upstreams: 6,
+        cpu_millicores: 16_000,
+        speeds: vec![1.0],
+        queues: vec![run_queue("look", 0, 3)],
+        seed: 1,
+    });
+    // The first one has read the roster before the others registered.
+    site.run_ms(20);
+    site.submit(0, "look", "00000000000000aa", &run_job(8, 6_800, 60));
+    site.run_ms(600);
+    let answer = site.answer("00000000000000aa").expect("an answer");
+    assert_eq!(answer.answer, RunAnswer::Ended(JobEnd::Completed));
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[test]
+fn instance_back_from_a_cut_serves_without_the_store() {
+    let mut site = started(1);
+    site.cut_from_store(0, true);
+    for other in 1..6 {
+        site.cut(0, other, true);
+    }
+    // The others have removed it meanwhile.
+    site.run_ms(5_000);
+    for other in 1..6 {
+        site.cut(0, other, false);
+    }
+    site.run_ms(500);
+    site.submit(0, "look", "00000000000000aa", &run_job(8, 6_800, 60));
+    site.run_ms(600);
+    let answer = site.answer("00000000000000aa").expect("an answer");
+    assert_eq!(answer.answer, RunAnswer::Ended(JobEnd::Completed));
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
