--- a/entry/src/run_driver.rs
+++ b/entry/src/run_driver.rs
@@ -212,7 +212,7 @@
         });
     }
 
-    fn send_peer(&mut self, instance: Arc<str>, message: TimedRunMessage) {
+    fn send_peer(&mut self, instance: Arc<str>, message: Box<TimedRunMessage>) {
         let envelope = PeerMessage::Run(message);
         let Err(error) = self.effects.peers.send(&instance, &envelope) else {
             return;
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -82,24 +82,16 @@
 
 impl RunProcess {
     async fn start(settings: Settings, leased: LeasedRuns) -> Result<Self, ProcessError> {
-        let clock = Clock::start();
-        let callers = listener::bind("callers", settings.caller_address)?;
-        let ready = listener::bind("readiness", leased.ready_address)?;
-        let operators = listener::bind("operators", settings.operator_address)?;
-        let metrics = RunMetrics::new()?;
         let stopping = Stopping::default();
         let (handle, commands) = RunHandle::new();
+        let metrics = RunMetrics::new()?;
         let context = Arc::new(RunContext {
             handle: handle.clone(),
             metrics: metrics.clone(),
             limits: settings.limits.clone(),
             stopping: stopping.clone(),
         });
-        let limits = &settings.limits;
-        listener::serve(ready, limits, ready_api(&context));
-        listener::serve(operators, limits, run_metrics_api(&context));
-        listener::serve(callers, limits, run_api(&context));
-
+        listen(&settings, &leased, &context)?;
         let identity = PeerIdentity {
             instance: Arc::from(settings.instance.as_str()),
             incarnation: Incarnation(rand::random()),
@@ -110,10 +102,7 @@
             store = %settings.platform_address, "started"
         );
         let sink = event_sink(&handle);
-        let contact = Arc::new(StoreContact::new(Arc::clone(&sink)));
-        let timeout = Duration::from_millis(settings.platform.timeout_ms);
-        let store = StoreClient::new(settings.platform_address, timeout, contact);
-        let store = Arc::new(store);
+        let store = store_client(&settings, &sink);
         let peers = Arc::new(LateTransport::default());
         let (register_again, registrations) = async_channel::bounded(1);
         let effects = RunEffects {
@@ -124,18 +113,9 @@
             handle: handle.clone(),
             register_again,
         };
-        let run_settings = RunSettings {
-            instance: Arc::clone(&identity.instance),
-            data_centre: Arc::from(settings.data_centre.as_str()),
-            incarnation: identity.incarnation,
-            limits: RunLimits {
-                lease: Duration::from_millis(leased.lease_ms),
-                open_jobs: settings.limits.jobs,
-                ..RunLimits::default()
-            },
-        };
+        let run_settings = run_settings(&settings, &leased, &identity);
         let dispatcher = RunDispatcher::new(run_settings, Box::new(StoredIntended));
-        executor::spawn(RunDriver::new(dispatcher, clock, commands, effects).run());
+        executor::spawn(RunDriver::new(dispatcher, Clock::start(), commands, effects).run());
         let key = shared_key(&store, &settings).await;
         let (transport, incoming) = NngTransport::start(PeerSettings {
             identity: identity.clone(),
@@ -155,13 +135,8 @@
         );
         let (leave, leaving) = async_channel::bounded(1);
         let (left_sender, left) = async_channel::bounded(1);
-        executor::spawn(keep_registered(
-            session,
-            sink,
-            registrations,
-            leaving,
-            left_sender,
-        ));
+        let registered = keep_registered(session, sink, registrations, leaving, left_sender);
+        executor::spawn(registered);
         Ok(RunProcess {
             handle,
             stopping,
@@ -199,6 +174,42 @@
     }
 }
 
+/// Opens every listener and serves on it.
+fn listen(
+    settings: &Settings,
+    leased: &LeasedRuns,
+    context: &Arc<RunContext>,
+) -> Result<(), ProcessError> {
+    let callers = listener::bind("callers", settings.caller_address)?;
+    let ready = listener::bind("readiness", leased.ready_address)?;
+    let operators = listener::bind("operators", settings.operator_address)?;
+    let limits = &settings.limits;
+    listener::serve(ready, limits, ready_api(context));
+    listener::serve(operators, limits, run_metrics_api(context));
+    listener::serve(callers, limits, run_api(context));
+    Ok(())
+}
+
+fn store_client(settings: &Settings, sink: &EventSink) -> Arc<StoreClient> {
+    let contact = Arc::new(StoreContact::new(Arc::clone(sink)));
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let client = StoreClient::new(settings.platform_address, timeout, contact);
+    Arc::new(client)
+}
+
+fn run_settings(settings: &Settings, leased: &LeasedRuns, identity: &PeerIdentity) -> RunSettings {
+    RunSettings {
+        instance: Arc::clone(&identity.instance),
+        data_centre: Arc::from(settings.data_centre.as_str()),
+        incarnation: identity.incarnation,
+        limits: RunLimits {
+            lease: Duration::from_millis(leased.lease_ms),
+            open_jobs: settings.limits.jobs,
+            ..RunLimits::default()
+        },
+    }
+}
+
 fn event_sink(handle: &RunHandle) -> EventSink {
     let handle = handle.clone();
     Arc::new(move |event| handle.send(event))
--- a/lib/src/peer_codec.rs
+++ b/lib/src/peer_codec.rs
@@ -86,7 +86,7 @@
         PeerMessage::DocumentBody { revision, text } => {
             Kind::DocumentBody(proto::DocumentBody { revision, text })
         }
-        PeerMessage::Run(message) => Kind::Run(message.into()),
+        PeerMessage::Run(message) => Kind::Run((*message).into()),
     }
 }
 
@@ -140,7 +140,7 @@
             revision: body.revision,
             text: body.text,
         },
-        Kind::Run(message) => PeerMessage::Run(message.try_into()?),
+        Kind::Run(message) => PeerMessage::Run(Box::new(message.try_into()?)),
     };
     Ok(message)
 }
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -83,7 +83,7 @@
         text: Bytes,
     },
     /// A message about leased runs.
-    Run(TimedRunMessage),
+    Run(Box<TimedRunMessage>),
 }
 
 /// What a caller asked of a job.
--- a/lib/src/runs/event.rs
+++ b/lib/src/runs/event.rs
@@ -56,14 +56,14 @@
         /// Who sent it.
         sender: PeerIdentity,
         /// The message.
-        message: TimedRunMessage,
+        message: Box<TimedRunMessage>,
     },
     /// A message was dropped before a byte of it was sent.
     PeerNotSent {
         /// The instance that it was for.
         instance: Arc<str>,
         /// The message.
-        message: TimedRunMessage,
+        message: Box<TimedRunMessage>,
     },
     /// An order was answered, or not.
     OrderAnswered {
--- a/lib/src/runs/run_action.rs
+++ b/lib/src/runs/run_action.rs
@@ -34,7 +34,7 @@
         /// The instance's name.
         instance: Arc<str>,
         /// The message.
-        message: TimedRunMessage,
+        message: Box<TimedRunMessage>,
     },
     /// Replace the instances that messages can be sent to.
     SetPeers(Vec<PeerAddress>),
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -217,8 +217,8 @@
                 self.listing.store_lost();
                 self.roster_watch.store_lost();
             }
-            RunEvent::PeerMessage { sender, message } => self.take_message(&sender, message),
-            RunEvent::PeerNotSent { instance, message } => self.peer_not_sent(&instance, message),
+            RunEvent::PeerMessage { sender, message } => self.take_message(&sender, *message),
+            RunEvent::PeerNotSent { instance, message } => self.peer_not_sent(&instance, *message),
             RunEvent::OrderAnswered { order, answer } => {
                 self.owner.order_answered(self.now, order, answer);
             }
@@ -475,11 +475,11 @@
         };
         self.actions.push(RunAction::SendPeer {
             instance: peer.name.clone(),
-            message: TimedRunMessage {
+            message: Box::new(TimedRunMessage {
                 sent_at: self.now,
                 echo: peer.echo(self.now),
                 message,
-            },
+            }),
         });
     }
 
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -553,11 +553,10 @@
         let Some((id, asked_at)) = self.asked.get(&(node, request)).cloned() else {
             return;
         };
-        if let RunAnswer::NotRun { .. } = answer {
-            if self.started_jobs.contains(&id) {
-                self.violations
-                    .push(format!("{id} was said not to have run"));
-            }
+        let is_not_run = matches!(answer, RunAnswer::NotRun { .. });
+        if is_not_run && self.started_jobs.contains(&id) {
+            let violation = format!("{id} was said not to have run");
+            self.violations.push(violation);
         }
         let answer = SiteAnswer {
             asked_at,
@@ -567,7 +566,7 @@
         self.answers.insert(id, answer);
     }
 
-    fn send(&mut self, from: usize, to: &str, message: TimedRunMessage) {
+    fn send(&mut self, from: usize, to: &str, message: Box<TimedRunMessage>) {
         self.messages += 1;
         let Some(node) = self.nodes.iter().position(|node| &*node.name == to) else {
             return;
