runs: send again what found no connection, and drop idle connections after a time-out

Ruled out: the leases (they ran). Test runs_survive_their_owner_that_starts_again fails without it. The HTTP client closes the idle connections to an address after a time-out: when all kept ones go silent, each would cost a time-out (test failed first).

--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -18,6 +18,7 @@
 use super::owner::OwnerNotice;
 use super::peer_table::Freshness;
 use super::peer_table::PeerTable;
+use super::peer_table::SILENCE;
 use super::roster::Roster;
 use super::run_action::PeerAddress;
 use super::run_action::RunAction;
@@ -51,6 +52,10 @@
 /// The part of all room that must have become free or used for a report between heartbeats.
 const REPORTED_SHARE: u32 = 8;
 
+/// How long after a message found no connection it is sent again: a new connection takes some
+/// milliseconds, one that was refused is tried again after 50.
+const RESEND_GAP: Duration = Duration::from_millis(30);
+
 /// How long a job waits for any owner to come into reach.
 const NO_OWNER_TIME: Duration = Duration::from_millis(100);
 
@@ -65,6 +70,17 @@
 enum OwnTimer {
     Heartbeat,
     Report,
+    Resend,
+}
+
+/// A message that found no connection.
+#[derive(Debug)]
+struct Unsent {
+    peer: PeerKey,
+    incarnation: Incarnation,
+    message: RunMessage,
+    /// When it was to be sent first.
+    sent_at: Timestamp,
 }
 
 /// Decides what one instance does: same events, same actions.
@@ -83,6 +99,7 @@
     pub(crate) roster: Roster,
     pub(crate) roster_watch: super::roster_watch::RosterWatch,
     timers: TimerService<OwnTimer>,
+    unsent: Vec<Unsent>,
     is_leaving: bool,
     pub(crate) exits_at: Option<Timestamp>,
     reported_free: u32,
@@ -110,6 +127,7 @@
             roster: Roster::default(),
             roster_watch: super::roster_watch::RosterWatch::default(),
             timers,
+            unsent: Vec::new(),
             is_leaving: false,
             exits_at: None,
             reported_free: 0,
@@ -188,6 +206,7 @@
             match timer {
                 OwnTimer::Heartbeat => self.beat(),
                 OwnTimer::Report => {}
+                OwnTimer::Resend => self.resend(),
             }
         }
     }
@@ -470,13 +489,17 @@
     }
 
     pub(crate) fn send(&mut self, peer: PeerKey, message: RunMessage) {
+        self.send_as_of(self.now, peer, message);
+    }
+
+    fn send_as_of(&mut self, sent_at: Timestamp, peer: PeerKey, message: RunMessage) {
         let Some(peer) = self.peers.peers.get(peer) else {
             return;
         };
         self.actions.push(RunAction::SendPeer {
             instance: peer.name.clone(),
             message: Box::new(TimedRunMessage {
-                sent_at: self.now,
+                sent_at,
                 echo: peer.echo(self.now),
                 message,
             }),
@@ -577,11 +600,42 @@
         let Some(peer) = self.peers.by_name(instance) else {
             return;
         };
-        if let RunMessage::Place(batch) = message.message {
-            let number = batch.number;
-            self.home
-                .take_unsent(self.now, OwnerRef::Peer(peer), number);
-            self.peers.peers[peer].digest.services.clear();
+        let sent_at = message.sent_at;
+        match message.message {
+            RunMessage::Place(batch) => {
+                let owner = OwnerRef::Peer(peer);
+                self.home.take_unsent(self.now, owner, batch.number);
+                self.peers.peers[peer].digest.services.clear();
+            }
+            // A heartbeat or a request for a document comes again by itself.
+            RunMessage::Report(_)
+            | RunMessage::IntendedRequest { .. }
+            | RunMessage::IntendedBody { .. } => {}
+            message => {
+                let incarnation = self.peers.peers[peer].incarnation;
+                self.unsent.push(Unsent {
+                    peer,
+                    incarnation,
+                    message,
+                    sent_at,
+                });
+                let due = self.now + RESEND_GAP;
+                self.timers.subscribe(due, OwnTimer::Resend);
+            }
+        }
+    }
+
+    /// Sends again what found no connection, while its receiver may still act on it.
+    fn resend(&mut self) {
+        for unsent in std::mem::take(&mut self.unsent) {
+            let is_useful = self.now.since(unsent.sent_at) < SILENCE;
+            let peer = self.peers.peers.get(unsent.peer);
+            let is_same = peer.is_some_and(|peer| peer.incarnation == unsent.incarnation);
+            if is_useful && is_same {
+                self.send_as_of(unsent.sent_at, unsent.peer, unsent.message);
+            } else {
+                tracing::warn!(message = ?unsent.message, "message to an instance dropped");
+            }
         }
     }
 
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -132,6 +132,8 @@
 const ORDER_DELAY: Duration = Duration::from_micros(400);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
 const HOLD_GRACE: Duration = Duration::from_millis(80);
+/// How long after the start of a process the connections to and from it are open.
+const CONNECT_TIME: Duration = Duration::from_millis(20);
 const STORE_PERIOD: Duration = Duration::from_millis(400);
 
 impl RunSite {
@@ -574,6 +576,20 @@
         if self.cut_pairs.contains(&(from, node)) {
             return;
         }
+        let newest = self.nodes[from].started_at.max(self.nodes[node].started_at);
+        if self.now.since(newest) < CONNECT_TIME {
+            let instance = Arc::from(to);
+            let event = RunEvent::PeerNotSent { instance, message };
+            let life = self.nodes[from].life;
+            return self.at(
+                Duration::ZERO,
+                Happening::Event {
+                    node: from,
+                    life,
+                    event,
+                },
+            );
+        }
         let sender = PeerIdentity {
             instance: self.nodes[from].name.clone(),
             incarnation: self.nodes[from].incarnation(),
--- a/net/src/http/client.rs
+++ b/net/src/http/client.rs
@@ -66,6 +66,10 @@
             Err(Failure::Timeout { timeout_ms })
         };
         let result = or(timed_out, pool.send(&request, &progress)).await;
+        if let Err(Failure::Timeout { .. }) = &result {
+            // What goes silent without a reset may be all connections to the peer.
+            pool.drop_idle();
+        }
         result.map_err(|failure| ExchangeError {
             step: progress.step(),
             peer: request.address,
--- a/net/src/http/http1_pool.rs
+++ b/net/src/http/http1_pool.rs
@@ -71,6 +71,14 @@
         self.finish(connection, result).await
     }
 
+    /// Closes the connections that nobody uses: the path to the address may have gone silent.
+    pub(crate) fn drop_idle(&self) {
+        self.idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
+    }
+
     /// Says whether no connection is worth keeping the pool for.
     pub(crate) fn is_idle(&self) -> bool {
         self.idle
--- a/net/src/http/pool.rs
+++ b/net/src/http/pool.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Closes the connections that nobody uses, where they are kept one by one.
+    pub(crate) fn drop_idle(&self) {
+        match self {
+            Self::Http1(pool) => pool.drop_idle(),
+            // The one connection is shared, and its own requests show whether it lives.
+            Self::Http2(_) => {}
+        }
+    }
+
     /// Says whether no connection is worth keeping the pool for.
     pub(crate) fn is_idle(&self) -> bool {
         match self {
--- a/net/tests/kept_connections.rs
+++ b/net/tests/kept_connections.rs
@@ -225,3 +225,18 @@
         );
     });
 }
+
+#[test]
+fn silent_connections_are_not_tried_one_by_one() {
+    smol::block_on(async {
+        let site = Site::start(Protocol::Http1).await;
+        run_many(&site).await;
+        // All kept connections go silent, and new ones work.
+        site.proxy.set_faults(ProxyFaults::black_hole());
+        site.run("silent", SHORT_TIMEOUT).await.unwrap_err();
+        site.proxy.set_faults(ProxyFaults::default());
+        site.run("after", TIMEOUT).await.unwrap();
+        let counters = site.proxy.counters();
+        assert_eq!(counters.connections, CONNECTIONS as u64 + 1);
+    });
+}
