entry: go on reading the roster while a process stops

Cause of a process test that failed in 4 of 10 runs: a stopping instance read the roster no more, so a home that was told to stop before it knew of a new sibling waited for an owner until its caller left. Ruled out: load (the log shows no roster line after the signal). Jobs of which something has run are given up after half a second without any owner.

--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -273,8 +273,19 @@
         tracing::warn!(%error, "leaving not announced");
         Timer::after(KEY_RETRY).await;
     }
-    // Closed once nothing is open any more.
-    while leaving.recv().await.is_ok() {}
+    // What is open here may still need owners that register meanwhile; closed once nothing is.
+    loop {
+        let is_over = or(
+            async {
+                session.step(&sink).await;
+                false
+            },
+            async { leaving.recv().await.is_err() },
+        );
+        if is_over.await {
+            break;
+        }
+    }
     if let Err(error) = session.deregister().await {
         tracing::warn!(%error, "own row not taken away");
     }
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -201,6 +201,7 @@
             may_have_run: false,
             ending: None,
             placements: 0,
+            no_owner_since: None,
             queue,
             spec,
         };
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -41,6 +41,8 @@
     /// Why it will end unfinished, once that is known.
     pub(crate) ending: Option<NotRun>,
     pub(crate) placements: u32,
+    /// Since when no owner has been in reach for its waiting tasks.
+    pub(crate) no_owner_since: Option<Timestamp>,
 }
 
 /// One task.
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -22,6 +22,7 @@
 use super::roster::Roster;
 use super::run_action::PeerAddress;
 use super::run_action::RunAction;
+use super::run_answer::GivenUp;
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
 use super::run_digest::RunDigest;
@@ -59,6 +60,10 @@
 /// How long a job waits for any owner to come into reach.
 const NO_OWNER_TIME: Duration = Duration::from_millis(100);
 
+/// How long a job of which something has run waits for another owner: the next roster is read
+/// within 400 ms.
+const NO_OWNER_LEFT_TIME: Duration = Duration::from_millis(500);
+
 /// Reads intended states that other instances pass on.
 pub trait IntendedDecoder: fmt::Debug + Send {
     /// The state in these bytes; none when they hold none.
@@ -345,7 +350,7 @@
             self.actions
                 .push(RunAction::RemoveMember { name, row_version });
         }
-        self.reject_unplaceable();
+        self.end_unplaceable();
         self.home.end_hopeless(self.now);
         self.home.mark_dirty();
         self.send_reports();
@@ -386,18 +391,27 @@
         self.owner.drop_home(self.now, incarnation);
     }
 
-    /// Rejects jobs for which no owner has been in reach.
-    fn reject_unplaceable(&mut self) {
-        let waiting = self.home.jobs.iter();
-        let waiting = waiting.filter(|(_, job)| {
-            let is_overdue = self.now.since(job.accepted_at) >= NO_OWNER_TIME;
-            is_overdue && job.is_waiting() && !job.may_have_run && !job.is_placed()
-        });
-        let overdue: Vec<HomeJobKey> = waiting.map(|(key, _)| key).collect();
-        for key in overdue {
+    /// Ends jobs for whose tasks no owner has been in reach for a while.
+    fn end_unplaceable(&mut self) {
+        let waiting = self.home.jobs.iter().filter(|(_, job)| job.is_waiting());
+        let waiting: Vec<HomeJobKey> = waiting.map(|(key, _)| key).collect();
+        for key in waiting {
             let service = self.home.jobs[key].queue.service.clone();
-            if self.views(&service).is_empty() {
-                let why = Unfinished::NotRun(NotRun::NoUpstreamInReach);
+            let has_owner = !self.views(&service).is_empty();
+            let job = &mut self.home.jobs[key];
+            if has_owner {
+                job.no_owner_since = None;
+                continue;
+            }
+            let since = *job.no_owner_since.get_or_insert(self.now);
+            let waited = self.now.since(since);
+            if !job.may_have_run && !job.is_placed() {
+                if self.now.since(job.accepted_at) >= NO_OWNER_TIME {
+                    let why = Unfinished::NotRun(NotRun::NoUpstreamInReach);
+                    self.home.end_unfinished(self.now, key, why);
+                }
+            } else if waited >= NO_OWNER_LEFT_TIME {
+                let why = Unfinished::GivenUp(GivenUp::OwnerLost);
                 self.home.end_unfinished(self.now, key, why);
             }
         }
