--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -24,6 +24,7 @@
 use async_channel::Receiver;
 use futures_lite::future::or;
 use smol::Timer;
+use trillium_server_common::ServerHandle;
 
 use crate::clock::Clock;
 use crate::executor;
@@ -51,6 +52,10 @@
 /// How often a stopping process looks whether anything is still open.
 const IDLE_POLL: Duration = Duration::from_millis(20);
 
+/// How long a stopping process goes on taking connections: the platform looks twice, a second apart,
+/// before it sends callers elsewhere.
+const TURNING_AWAY: Duration = Duration::from_millis(2_300);
+
 /// How long nothing must be open before a stopping process ends: callers on open connections may
 /// still send, and a balancer needs two looks a second apart to notice.
 const QUIET: Duration = Duration::from_millis(400);
@@ -75,6 +80,7 @@
 struct RunProcess {
     handle: RunHandle,
     stopping: Stopping,
+    callers: ServerHandle,
     grace: Duration,
     leave: async_channel::Sender<()>,
     left: Receiver<()>,
@@ -91,7 +97,7 @@
             limits: settings.limits.clone(),
             stopping: stopping.clone(),
         });
-        listen(&settings, &leased, &context)?;
+        let callers = listen(&settings, &leased, &context)?;
         let identity = PeerIdentity {
             instance: Arc::from(settings.instance.as_str()),
             incarnation: Incarnation(rand::random()),
@@ -140,6 +146,7 @@
         Ok(RunProcess {
             handle,
             stopping,
+            callers,
             grace: Duration::from_millis(leased.stop_grace_ms),
             leave,
             left,
@@ -154,6 +161,12 @@
         let grace = self.grace.saturating_sub(TAKING_DOWN);
         self.handle.send(RunEvent::StopRequested { grace });
         self.leave.send(()).await.ok();
+        // Callers on idle connections come again elsewhere, instead of being refused here later.
+        let callers = self.callers.clone();
+        executor::spawn(async move {
+            Timer::after(TURNING_AWAY).await;
+            callers.shut_down().await;
+        });
         let mut quiet_since = Instant::now();
         while asked_at.elapsed() < grace && quiet_since.elapsed() < QUIET {
             let status = self.handle.status().await;
@@ -174,20 +187,19 @@
     }
 }
 
-/// Opens every listener and serves on it.
+/// Opens every listener and serves on it; gives the callers' one.
 fn listen(
     settings: &Settings,
     leased: &LeasedRuns,
     context: &Arc<RunContext>,
-) -> Result<(), ProcessError> {
+) -> Result<ServerHandle, ProcessError> {
     let callers = listener::bind("callers", settings.caller_address)?;
     let ready = listener::bind("readiness", leased.ready_address)?;
     let operators = listener::bind("operators", settings.operator_address)?;
     let limits = &settings.limits;
     listener::serve(ready, limits, ready_api(context));
     listener::serve(operators, limits, run_metrics_api(context));
-    listener::serve(callers, limits, run_api(context));
-    Ok(())
+    Ok(listener::serve(callers, limits, run_api(context)))
 }
 
 fn store_client(settings: &Settings, sink: &EventSink) -> Arc<StoreClient> {
