--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -17,6 +17,7 @@
 mod leased_run;
 mod leased_upstream;
 pub mod listed_upstream;
+mod neighbours;
 mod owner;
 mod owner_answers;
 mod peer_table;
--- a/lib/src/runs/peer_table.rs
+++ b/lib/src/runs/peer_table.rs
@@ -88,6 +88,11 @@
         self.heard_at.is_some_and(|at| now.since(at) < SILENCE)
     }
 
+    /// Whether it speaks although the roster lists it no more.
+    pub(crate) fn is_back(&self, now: Timestamp) -> bool {
+        self.unlisted_since.is_some() && self.is_heard(now)
+    }
+
     /// What its clock shows now, as far as its messages tell.
     pub(crate) fn echo(&self, now: Timestamp) -> Option<Timestamp> {
         self.clock.map(|(theirs, at)| theirs + now.since(at))
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -14,6 +14,7 @@
 use super::home_job::HomeState;
 use super::home_job::Unfinished;
 use super::intended_state::IntendedState;
+use super::neighbours::neighbours;
 use super::owner::Owner;
 use super::owner::OwnerNotice;
 use super::peer_table::Freshness;
@@ -105,6 +106,8 @@
     pub(crate) roster_watch: super::roster_watch::RosterWatch,
     timers: TimerService<OwnTimer>,
     unsent: Vec<Unsent>,
+    /// The instances that this one exchanges heartbeats with.
+    neighbours: Vec<Arc<str>>,
     is_leaving: bool,
     pub(crate) exits_at: Option<Timestamp>,
     reported_free: u32,
@@ -133,6 +136,7 @@
             roster_watch: super::roster_watch::RosterWatch::default(),
             timers,
             unsent: Vec::new(),
+            neighbours: Vec::new(),
             is_leaving: false,
             exits_at: None,
             reported_free: 0,
@@ -302,6 +306,7 @@
             for (peer, incarnation) in ended {
                 self.lose_peer(peer, incarnation, self.now);
             }
+            self.neighbours = neighbours(&self.settings.instance, &self.roster);
             self.set_peers();
         }
         self.assign_upstreams();
@@ -674,11 +679,17 @@
             .collect();
         for (peer, incarnation) in peers {
             let (held, highest_taken) = self.owner.held_of(self.now, incarnation);
+            let open = self.home.open_at(OwnerRef::Peer(peer));
+            let state = &self.peers.peers[peer];
+            let is_neighbour = self.neighbours.contains(&state.name) || state.is_back(self.now);
+            if held.is_empty() && open.is_empty() && !is_neighbour {
+                continue;
+            }
             let report = PeerReport {
                 digest: digest.clone(),
                 held,
                 highest_taken,
-                open: self.home.open_at(OwnerRef::Peer(peer)),
+                open,
                 highest_sent: self.home.highest_batch(),
             };
             self.send(peer, RunMessage::Report(report));
