runs: name owners by their instances in logs

Lines such as 'tasks placed' named an owner by an internal key, of no use to an engineer who looks for its machine. No change of behaviour; calm_runs, lost_orders, upstream_owners, neighbour_bound green.

--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -113,6 +113,8 @@
     ended: IndexMap<JobId, JobEnd>,
     requests: IndexMap<RequestId, HomeJobKey>,
     pub(crate) batches: IndexMap<(OwnerRef, u64), OpenBatch>,
+    /// The owners' names, for logs.
+    owner_names: IndexMap<OwnerRef, Arc<str>>,
     next_batch: u64,
     estimates: IndexMap<Arc<str>, RunEstimate>,
     pub(crate) timers: TimerService<HomeTimer>,
@@ -129,6 +131,16 @@
 }
 
 impl Home {
+    /// Learns an owner's name.
+    pub(crate) fn name_owner(&mut self, owner: OwnerRef, name: Arc<str>) {
+        self.owner_names.insert(owner, name);
+    }
+
+    /// An owner's name.
+    pub(crate) fn owner_name(&self, owner: OwnerRef) -> &str {
+        self.owner_names.get(&owner).map_or("unknown", |name| name)
+    }
+
     /// Joins a request to a job that is open here or has just ended.
     pub(crate) fn join(&mut self, request: RequestId, id: JobId) -> bool {
         if let Some(end) = self.ended.get(&id).copied() {
@@ -403,7 +415,7 @@
             if tasks.is_empty() {
                 continue;
             }
-            tracing::warn!(job = %job.id, ?owner, tasks = tasks.len(), "owner out of reach");
+            tracing::warn!(job = %job.id, owner = self.owner_name(owner), tasks = tasks.len(), "owner out of reach");
             self.jobs[key].may_have_run = true;
             for (task, batch) in tasks {
                 self.set_adrift(now, key, task, last_heard, Some((owner, batch)));
@@ -467,7 +479,7 @@
         upstream: &Arc<str>,
     ) {
         let run = self.jobs[key].run(task);
-        tracing::info!(job = %run.task.job, run = %run, upstream = %upstream, ?owner, "run claimed");
+        tracing::info!(job = %run.task.job, run = %run, upstream = %upstream, owner = self.owner_name(owner), "run claimed");
         let batch = self.batch_of(now, key, owner, &[task]);
         self.close_empty_batches(key);
         if let Some(open) = self.batches.get_mut(&(owner, batch.number)) {
@@ -506,7 +518,7 @@
             for task in self.tasks_in(key, |state| state == placed) {
                 tracing::warn!(
                     batch = number,
-                    ?owner,
+                    owner = self.owner_name(owner),
                     is_adoption,
                     "batch not held by its owner"
                 );
@@ -595,10 +607,11 @@
             owner,
             batch: number,
         };
+        let owner_name = self.owner_names.get(&owner).cloned().unwrap_or_default();
         let Some(job) = self.jobs.get_mut(batch.job) else {
             return;
         };
-        tracing::warn!(job = %job.id, batch = number, ?owner, "batch not sent");
+        tracing::warn!(job = %job.id, batch = number, owner = &*owner_name, "batch not sent");
         for task in &mut job.tasks {
             if task.state == placed {
                 task.state = HomeState::Waiting;
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -313,6 +313,11 @@
     }
 
     fn set_peers(&mut self) {
+        let own = self.settings.instance.clone();
+        self.home.name_owner(OwnerRef::Own, own);
+        for (key, peer) in &self.peers.peers {
+            self.home.name_owner(OwnerRef::Peer(key), peer.name.clone());
+        }
         let peers = self.peers.peers.values().map(|peer| PeerAddress {
             name: peer.name.clone(),
             incarnation: peer.incarnation,
@@ -785,7 +790,7 @@
     for (owner, tasks) in chosen {
         let batch = home.batch_of(now, key, owner, &tasks);
         tracing::info!(
-            job = %batch.job, ?owner, batch = batch.number, tasks = tasks.len(), "tasks placed"
+            job = %batch.job, owner = home.owner_name(owner), batch = batch.number, tasks = tasks.len(), "tasks placed"
         );
         home.outputs.push(HomeOutput::Place { owner, batch });
     }
