runs: wait for a claim only as long as the lost owner's lease lasts

Cause: tasks whose owner is out of reach waited 700 ms more for the next owner to ask for them, though the lease is over 400 ms after that. Test first: job_of_a_dead_owner_is_given_up_once_no_run_can_be_claimed.

--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -44,6 +44,10 @@
 /// How long a task adrift waits for the next owner of its upstream to ask for it.
 pub(crate) const ADRIFT_TIME: Duration = Duration::from_millis(700);
 
+/// How long after its owner was last heard a run can still be asked for: the longest lease that the
+/// owner can have ordered.
+pub(crate) const CLAIMABLE_TIME: Duration = Duration::from_secs(1);
+
 /// How long after its owner was last heard a run has surely ended.
 ///
 /// An owner that lost its home stops the run or, cut off from the upstream too, renews its lease
@@ -370,7 +374,8 @@
     ) {
         let job = &mut self.jobs[key];
         job.tasks[task].state = HomeState::Adrift { since, from };
-        let due = (now + ADRIFT_TIME).max(since + ADRIFT_TIME);
+        let claimable_until = (since + CLAIMABLE_TIME).max(now);
+        let due = claimable_until.min(now + ADRIFT_TIME);
         self.timers.subscribe(due, HomeTimer::Adrift(key));
     }
 
--- a/lib/tests/upstream_owners.rs
+++ b/lib/tests/upstream_owners.rs
@@ -1,5 +1,6 @@
 //! Ownership of upstreams as instances come, go, die, freeze and are cut off.
 
+use almondhead_lib::runs::run_answer::GivenUp;
 use almondhead_lib::runs::run_answer::JobEnd;
 use almondhead_lib::runs::run_answer::RunAnswer;
 use almondhead_testsupport::run_site::RunSite;
@@ -79,6 +80,20 @@
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
 
+#[test]
+fn job_of_a_dead_owner_is_given_up_once_no_run_can_be_claimed() {
+    let mut site = started(1);
+    site.submit(1, "look", "00000000000000aa", &run_job(30, 6_800, 900));
+    site.run_ms(100);
+    site.kill(0);
+    site.run_ms(2_000);
+    let answer = site.answer("00000000000000aa").expect("an answer");
+    assert_eq!(answer.answer, RunAnswer::GivenUp(GivenUp::OwnerLost));
+    // A lease of a second, and up to 150 ms until the next heartbeat is missed.
+    let took = answer.answered_at.since(answer.asked_at).as_millis();
+    assert!(took < 1_250, "{took} ms");
+}
+
 #[test]
 fn leaving_instance_hands_its_runs_over() {
     let mut site = started(1);
