runs: place tasks where their label, rack and limit allow

Cause: a home chose owners by free room alone. Tasks that need a label waited at owners without such an upstream until their caller left, tasks with a limit on each upstream piled up at one owner, and the rack of the data counted only within an owner. The home now works out from list and roster which owners can take how many tasks of such a step; other steps are not touched. Ruled out: a label in the load digest, which would grow with the labels.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -33,6 +33,7 @@
 pub mod run_order;
 pub mod run_settings;
 mod spread;
+mod step_reach;
 pub mod upstream_choice;
 pub mod upstream_clock;
 mod upstream_listing;
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -16,6 +16,7 @@
 use super::run_dispatcher::not_run;
 use super::spread::OwnerView;
 use super::spread::choose_owner;
+use super::step_reach::StepReach;
 use super::upstream_choice::SeekingTask;
 use crate::id::RequestId;
 
@@ -94,6 +95,7 @@
         if !step.after.is_empty() {
             continue;
         }
+        let mut reach = StepReach::default();
         for _ in 0..step.tasks {
             let seeking = SeekingTask {
                 expected_run: *run,
@@ -101,7 +103,7 @@
                 objective_left: wait,
                 deadline_left: wait,
             };
-            if let Some(choice) = choose_owner(views, step.room, &seeking, &[]) {
+            if let Some(choice) = choose_owner(views, step.room, &seeking, &[], &mut reach) {
                 longest_wait = longest_wait.max(choice.wait);
             }
         }
--- a/lib/src/runs/assignment.rs
+++ b/lib/src/runs/assignment.rs
@@ -20,16 +20,24 @@
     roster: &Roster,
     listing: &UpstreamListing,
 ) -> Vec<Arc<ListedUpstream>> {
+    let assigned = with_owners(roster, listing).filter(|(_, owner)| *owner == Some(instance));
+    assigned.map(|(upstream, _)| upstream.clone()).collect()
+}
+
+/// The listed upstreams, each with the instance that is to own it.
+pub(crate) fn with_owners<'a>(
+    roster: &'a Roster,
+    listing: &'a UpstreamListing,
+) -> impl Iterator<Item = (&'a Arc<ListedUpstream>, Option<&'a str>)> {
     let mut owners: IndexMap<&str, Vec<&str>> = IndexMap::new();
-    let assigned = listing.iter().filter(|upstream| {
+    listing.iter().map(move |upstream| {
         let data_centre: &str = &upstream.data_centre;
         let owners = owners
             .entry(data_centre)
             .or_insert_with(|| owners_of(data_centre, roster));
         let owner = rendezvous_owner(&upstream.id, owners);
-        owner.is_some_and(|owner| owners[owner] == instance)
-    });
-    assigned.cloned().collect()
+        (upstream, owner.map(|owner| owners[owner]))
+    })
 }
 
 fn owners_of<'a>(data_centre: &str, roster: &'a Roster) -> Vec<&'a str> {
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -294,6 +294,8 @@
                 self.start_over(now, key, task);
             }
         }
+        // A step that bounds its tasks on an upstream may place the next one now.
+        self.is_dirty |= self.jobs.get(key).is_some_and(HomeJob::is_waiting);
         self.close_empty_batches(key);
     }
 
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -110,11 +110,6 @@
         self.contact == Contact::InTouch && !self.is_released && !self.listed.draining
     }
 
-    /// Whether it has a label.
-    pub(crate) fn has_label(&self, label: &str) -> bool {
-        self.listed.labels.iter().any(|own| &**own == label)
-    }
-
     /// When everything that runs there has surely ended, if nothing more is ordered.
     pub(crate) fn lapses_at(&self) -> Option<Timestamp> {
         self.clock
--- a/lib/src/runs/listed_upstream.rs
+++ b/lib/src/runs/listed_upstream.rs
@@ -28,6 +28,13 @@
     pub born_unix_ms: Option<u64>,
 }
 
+impl ListedUpstream {
+    /// Whether it has a label.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| &**own == label)
+    }
+}
+
 /// A change of the list.
 #[value]
 pub enum ListingChange {
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -369,7 +369,7 @@
             upstream.is_usable()
                 && upstream.listed.service == batch.service
                 && demand.room.fits(upstream.listed.room)
-                && label.is_none_or(|label| upstream.has_label(label))
+                && label.is_none_or(|label| upstream.listed.has_label(label))
         })
     }
 
@@ -600,7 +600,7 @@
             let label = demand.required_label.as_deref();
             let takes = upstream.listed.service == batch.service
                 && demand.room.fits(free)
-                && label.is_none_or(|label| upstream.has_label(label))
+                && label.is_none_or(|label| upstream.listed.has_label(label))
                 && upstream.takes_work(now)
                 && self.is_within_limit(on, key, task);
             if !takes {
@@ -610,7 +610,7 @@
             keys.push(on);
             candidates.push(RoomyUpstream {
                 avoided: avoid.contains(&upstream.listed.id),
-                far_from_data: rack.is_some_and(|rack| !upstream.has_label(rack)),
+                far_from_data: rack.is_some_and(|rack| !upstream.listed.has_label(rack)),
                 slowness_percent: upstream.speed.slowness_percent(),
                 left_millicores: free.minus(demand.room).cpu_millicores,
                 distance: 0,
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 
+use super::assignment::with_owners;
 use super::event::Ask;
 use super::event::RunEvent;
 use super::home::Home;
 use super::home::HomeOutput;
+use super::home_job::HomeJob;
 use super::home_job::HomeState;
 use super::home_job::Unfinished;
 use super::intended_state::IntendedState;
@@ -38,6 +40,7 @@
 use super::spread::OwnerRef;
 use super::spread::OwnerView;
 use super::spread::choose_owner;
+use super::step_reach::StepReach;
 use super::upstream_listing::UpstreamListing;
 use crate::event::PeerIdentity;
 use crate::id::Incarnation;
@@ -766,13 +769,53 @@
                     views.entry(service).or_insert(of_service)
                 }
             };
-            place_job(&mut self.home, self.now, key, of_service);
+            let mut reaches = reaches(&self.home.jobs[key], &self.roster, &self.listing, |name| {
+                owner_named(&self.settings.instance, &self.peers, name)
+            });
+            place_job(&mut self.home, self.now, key, of_service, &mut reaches);
         }
     }
 }
 
+fn owner_named(own: &str, peers: &PeerTable, name: &str) -> Option<OwnerRef> {
+    match name == own {
+        true => Some(OwnerRef::Own),
+        false => peers.by_name(name).map(OwnerRef::Peer),
+    }
+}
+
+/// Where the tasks of each step of a job may go.
+fn reaches(
+    job: &HomeJob,
+    roster: &Roster,
+    listing: &UpstreamListing,
+    owner_named: impl Fn(&str) -> Option<OwnerRef>,
+) -> Vec<StepReach> {
+    let steps = (0..).zip(&job.spec.steps);
+    let reaches = steps.map(|(index, step)| {
+        if !StepReach::is_needed(step) {
+            return StepReach::default();
+        }
+        let upstreams = with_owners(roster, listing)
+            .filter(|(upstream, _)| upstream.service == job.queue.service)
+            .map(|(upstream, owner)| (&**upstream, owner.and_then(&owner_named)));
+        let placed = job.tasks.iter().filter_map(|task| match task.state {
+            HomeState::Placed { owner, .. } if task.step == index => Some(owner),
+            _ => None,
+        });
+        StepReach::new(step, upstreams, placed)
+    });
+    reaches.collect()
+}
+
 /// Hands the waiting tasks of a job to owners.
-fn place_job(home: &mut Home, now: Timestamp, key: HomeJobKey, views: &mut [OwnerView]) {
+fn place_job(
+    home: &mut Home,
+    now: Timestamp,
+    key: HomeJobKey,
+    views: &mut [OwnerView],
+    reaches: &mut [StepReach],
+) {
     let job = &home.jobs[key];
     let mut chosen: IndexMap<OwnerRef, Vec<usize>> = IndexMap::new();
     for (index, task) in job.tasks.iter().enumerate() {
@@ -782,7 +825,7 @@
         let step = task.step as usize;
         let room = job.spec.steps[step].room;
         let seeking = job.seeking(now, index);
-        if let Some(choice) = choose_owner(views, room, &seeking, &task.avoid) {
+        if let Some(choice) = choose_owner(views, room, &seeking, &task.avoid, &mut reaches[step]) {
             let owner = views[choice.view].owner;
             chosen.entry(owner).or_default().push(index);
         }
--- a/lib/src/runs/spread.rs
+++ b/lib/src/runs/spread.rs
@@ -9,6 +9,7 @@
 use super::run_digest::RunLoad;
 use super::run_digest::short_name;
 use super::run_id::PeerKey;
+use super::step_reach::StepReach;
 use super::upstream_choice::RoomyUpstream;
 use super::upstream_choice::SeekingTask;
 use super::upstream_choice::SlowestInTime;
@@ -78,8 +79,10 @@
     room: Resources,
     task: &SeekingTask,
     avoid: &[Arc<str>],
+    reach: &mut StepReach,
 ) -> Option<Choice> {
-    if let Some((view, upstream)) = fitting(views, room, task, avoid) {
+    if let Some((view, upstream)) = fitting(views, room, task, avoid, reach) {
+        reach.take(views[view].owner);
         views[view].free[upstream].room -= room;
         let wait = Duration::ZERO;
         return Some(Choice { view, wait });
@@ -89,9 +92,10 @@
         return None;
     }
     let waiting = views.iter().enumerate();
-    let waiting = waiting.filter(|(_, view)| room.fits(view.total));
+    let waiting = waiting.filter(|(_, view)| room.fits(view.total) && reach.has_left(view.owner));
     let (view, least) = waiting.min_by_key(|(_, view)| (view.pressure(), view.distance))?;
     let wait = least.wait();
+    reach.take(least.owner);
     views[view].queued_core_ms += core_ms(room.cpu_millicores, task.expected_run);
     Some(Choice { view, wait })
 }
@@ -102,19 +106,21 @@
     room: Resources,
     task: &SeekingTask,
     avoid: &[Arc<str>],
+    reach: &StepReach,
 ) -> Option<(usize, usize)> {
     let avoid: Vec<u32> = avoid.iter().map(|upstream| short_name(upstream)).collect();
     let mut places = Vec::new();
     let mut candidates = Vec::new();
-    for (index, view) in views.iter().enumerate() {
+    let reached = views.iter().enumerate();
+    for (index, view) in reached.filter(|(_, view)| reach.has_left(view.owner)) {
         for (place, upstream) in view.free.iter().enumerate() {
-            if !room.fits(upstream.room) {
+            if !room.fits(upstream.room) || !reach.allows(upstream.name) {
                 continue;
             }
             places.push((index, place));
             candidates.push(RoomyUpstream {
                 avoided: avoid.contains(&upstream.name),
-                far_from_data: false,
+                far_from_data: reach.is_far_from_data(upstream.name),
                 slowness_percent: upstream.slowness_percent,
                 left_millicores: upstream.room.minus(room).cpu_millicores,
                 distance: view.distance as u32,
--- /dev/null
+++ b/lib/tests/step_needs.rs
@@ -0,0 +1,97 @@
+//! What a step asks of its upstreams: labels, racks, and how many tasks on one.
+
+use std::sync::Arc;
+
+use almondhead_lib::runs::job_spec::JobSpec;
+use almondhead_lib::runs::run_answer::JobEnd;
+use almondhead_lib::runs::run_answer::NotRun;
+use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_testsupport::run_site::RunSite;
+use almondhead_testsupport::run_site::SitePlan;
+use almondhead_testsupport::run_site::run_job;
+use almondhead_testsupport::run_site::run_queue;
+
+fn started() -> RunSite {
+    let mut site = RunSite::start(&SitePlan {
+        data_centres: 2,
+        instances: 2,
+        upstreams: 6,
+        cpu_millicores: 16_000,
+        speeds: vec![1.0],
+        queues: vec![run_queue("look", 0, 3)],
+        seed: 1,
+    });
+    site.run_ms(1_000);
+    site
+}
+
+fn labelled_job(tasks: u32, label: &str) -> JobSpec {
+    let mut job = run_job(tasks, 1_000, 100);
+    job.steps[0].required_label = Some(Arc::from(label));
+    job
+}
+
+fn is_completed(site: &RunSite, id: &str) -> bool {
+    let answer = site.answer(id).map(|end| &end.answer);
+    answer == Some(&RunAnswer::Ended(JobEnd::Completed))
+}
+
+#[test]
+fn label_that_no_upstream_has_is_refused_at_once() {
+    let mut site = started();
+    site.submit(0, "look", "00000000000000aa", &labelled_job(1, "big"));
+    site.run_ms(1);
+    let answer = &site.answer("00000000000000aa").expect("an answer").answer;
+    let refusal = RunAnswer::NotRun {
+        reason: NotRun::NeedsNoUpstreamHas,
+        retry_after: None,
+    };
+    assert_eq!(*answer, refusal);
+}
+
+#[test]
+fn labelled_tasks_find_the_one_upstream_that_has_it() {
+    for labelled in 0..12 {
+        let mut site = started();
+        site.label_upstream(labelled, "big");
+        site.run_ms(1_000);
+        for node in 0..site.nodes() {
+            let id = format!("{node:016x}");
+            site.submit(node, "look", &id, &labelled_job(3, "big"));
+            site.run_ms(400);
+            assert!(is_completed(&site, &id), "{labelled}, {node}");
+        }
+        assert_eq!(site.starts_at(labelled), 3 * site.nodes() as u64);
+    }
+}
+
+#[test]
+fn one_task_on_an_upstream_spreads_the_step() {
+    let mut site = started();
+    let mut job = run_job(12, 1_000, 100);
+    job.steps[0].most_per_upstream = Some(1);
+    site.submit(0, "look", "00000000000000aa", &job);
+    site.run_ms(600);
+    assert!(is_completed(&site, "00000000000000aa"));
+    for upstream in 0..site.upstreams() {
+        assert_eq!(site.starts_at(upstream), 1, "{upstream}");
+    }
+}
+
+#[test]
+fn tasks_go_to_the_rack_of_their_data() {
+    for near in 0..12 {
+        let mut site = started();
+        site.label_upstream(near, "rack-1");
+        site.run_ms(1_000);
+        for node in 0..site.nodes() {
+            let mut job = run_job(1, 1_000, 100);
+            job.steps[0].data_rack = Some(Arc::from("rack-1"));
+            let id = format!("{node:016x}");
+            site.submit(node, "look", &id, &job);
+            site.run_ms(300);
+            assert!(is_completed(&site, &id), "{near}, {node}");
+        }
+        assert_eq!(site.starts_at(near), site.nodes() as u64, "{near}");
+    }
+}
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -363,6 +363,17 @@
         }
     }
 
+    /// Gives an upstream a label.
+    pub fn label_upstream(&mut self, upstream: usize, label: &str) {
+        let state = &mut self.upstreams[upstream];
+        let mut listed = (*state.listed).clone();
+        listed.labels.push(Arc::from(label));
+        state.listed = Arc::new(listed);
+        for seen in &mut self.listed_to {
+            seen.swap_remove(&state.listed.id);
+        }
+    }
+
     /// Takes an upstream's entry out of the list at some instances' next readings, as when it
     /// lapsed, while the upstream lives on.
     pub fn delist(&mut self, upstream: usize) {
