--- /dev/null
+++ b/lib/tests/failure_budget.rs
@@ -0,0 +1,34 @@
+//! How often a task may fail.
+
+use almondhead_lib::runs::run_answer::JobEnd;
+use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_testsupport::run_site::RunSite;
+use almondhead_testsupport::run_site::SitePlan;
+use almondhead_testsupport::run_site::UpstreamFault;
+use almondhead_testsupport::run_site::run_job;
+use almondhead_testsupport::run_site::run_queue;
+
+#[test]
+fn task_starts_as_often_as_its_queue_lets_it_fail() {
+    for most in 1..=4 {
+        let mut site = RunSite::start(&SitePlan {
+            data_centres: 2,
+            instances: 2,
+            upstreams: 6,
+            cpu_millicores: 16_000,
+            speeds: vec![1.0],
+            queues: vec![run_queue("look", 0, most)],
+            seed: 1,
+        });
+        site.run_ms(1_000);
+        for upstream in 0..site.upstreams() {
+            site.set_upstream_fault(upstream, Some(UpstreamFault::FailsAll));
+        }
+        site.submit(0, "look", "00000000000000aa", &run_job(1, 1_000, 50));
+        site.run_ms(1_000);
+        let answer = site.answer("00000000000000aa").expect("an answer");
+        assert_eq!(answer.answer, RunAnswer::Ended(JobEnd::Failed));
+        let starts: u64 = (0..site.upstreams()).map(|up| site.starts_at(up)).sum();
+        assert_eq!(starts, u64::from(most));
+    }
+}
--- /dev/null
+++ b/lib/tests/intended_changes.rs
@@ -0,0 +1,63 @@
+//! How a change of the intended state comes into force.
+
+use almondhead_lib::runs::run_answer::JobEnd;
+use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_testsupport::run_site::RunSite;
+use almondhead_testsupport::run_site::SitePlan;
+use almondhead_testsupport::run_site::run_job;
+use almondhead_testsupport::run_site::run_queue;
+
+fn started() -> RunSite {
+    let mut site = RunSite::start(&SitePlan {
+        data_centres: 3,
+        instances: 6,
+        upstreams: 2,
+        cpu_millicores: 16_000,
+        speeds: vec![1.0],
+        queues: vec![run_queue("look", 0, 3)],
+        seed: 1,
+    });
+    site.run_ms(1_000);
+    site
+}
+
+/// The instances that know the queue.
+fn knowing(site: &mut RunSite, queue: &str, round: usize) -> usize {
+    let ids: Vec<String> = (0..site.nodes())
+        .map(|node| format!("{:016x}", 1_000 * round + node))
+        .collect();
+    for (node, id) in ids.iter().enumerate() {
+        site.submit(node, queue, id, &run_job(1, 1_000, 50));
+    }
+    site.run_ms(500);
+    let answers = ids.iter().filter_map(|id| site.answer(id));
+    let done = answers.filter(|end| end.answer == RunAnswer::Ended(JobEnd::Completed));
+    done.count()
+}
+
+#[test]
+fn change_that_one_instance_read_is_in_force_at_all() {
+    let mut site = started();
+    for node in 1..site.nodes() {
+        site.cut_from_store(node, true);
+    }
+    site.read_intended(0, 2, &["look", "find"]);
+    site.run_ms(2_000);
+    let nodes = site.nodes();
+    assert_eq!(knowing(&mut site, "find", 1), nodes);
+}
+
+#[test]
+fn older_version_is_never_installed() {
+    let mut site = started();
+    let nodes = site.nodes();
+    for node in 0..nodes {
+        site.read_intended(node, 3, &["look", "find"]);
+    }
+    site.run_ms(100);
+    for node in 0..nodes {
+        site.read_intended(node, 2, &["look"]);
+    }
+    site.run_ms(2_000);
+    assert_eq!(knowing(&mut site, "find", 1), nodes);
+}
--- a/lib/testsupport/src/run_site/node.rs
+++ b/lib/testsupport/src/run_site/node.rs
@@ -5,19 +5,40 @@
 use almondhead_lib::id::Incarnation;
 use almondhead_lib::runs::event::RunEvent;
 use almondhead_lib::runs::intended_state::IntendedState;
+use almondhead_lib::runs::intended_state::RequestLimits;
+use almondhead_lib::runs::intended_state::RunService;
 use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
 use almondhead_lib::runs::run_dispatcher::RunDispatcher;
 use almondhead_lib::runs::run_settings::RunLimits;
 use almondhead_lib::runs::run_settings::RunSettings;
 use almondhead_lib::time::Timestamp;
 
-/// Decodes nothing: simulated instances read the intended state from the store.
+use super::job::run_queue;
+
+/// The stored form of a simulated site's intended state: its version, then its queues' names.
 #[derive(Debug)]
-struct NoDecoder;
+pub(super) struct QueueNamesDecoder;
+
+impl IntendedDecoder for QueueNamesDecoder {
+    fn decode(&self, body: &[u8]) -> Option<IntendedState> {
+        let text = std::str::from_utf8(body).ok()?;
+        let mut words = text.split_whitespace();
+        let version = words.next()?.parse().ok()?;
+        let queues = words.map(|name| Arc::new(run_queue(name, 0, 3)));
+        Some(IntendedState {
+            version,
+            queues: queues.collect(),
+            services: vec![work_service()],
+            limits: RequestLimits::default(),
+        })
+    }
+}
 
-impl IntendedDecoder for NoDecoder {
-    fn decode(&self, _body: &[u8]) -> Option<IntendedState> {
-        None
+/// The one service of a simulated site.
+pub(super) fn work_service() -> RunService {
+    RunService {
+        name: Arc::from("work"),
+        guards_room: true,
     }
 }
 
@@ -72,7 +93,7 @@
             incarnation: self.incarnation(),
             limits: RunLimits::default(),
         };
-        self.dispatcher = Some(RunDispatcher::new(settings, Box::new(NoDecoder)));
+        self.dispatcher = Some(RunDispatcher::new(settings, Box::new(QueueNamesDecoder)));
     }
 
     /// Its own clock, which starts with its process.
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -12,7 +12,6 @@
 use almondhead_lib::runs::intended_state::IntendedState;
 use almondhead_lib::runs::intended_state::JobQueueSettings;
 use almondhead_lib::runs::intended_state::RequestLimits;
-use almondhead_lib::runs::intended_state::RunService;
 use almondhead_lib::runs::job_spec::JobSpec;
 use almondhead_lib::runs::listed_upstream::ListedUpstream;
 use almondhead_lib::runs::listed_upstream::ListingChange;
@@ -21,6 +20,7 @@
 use almondhead_lib::runs::roster::Roster;
 use almondhead_lib::runs::run_action::RunAction;
 use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
 use almondhead_lib::runs::run_id::OrderId;
 use almondhead_lib::runs::run_id::RunId;
 use almondhead_lib::runs::run_message::TimedRunMessage;
@@ -32,7 +32,9 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use super::node::QueueNamesDecoder;
 use super::node::SimNode;
+use super::node::work_service;
 use super::upstream::SimUpstream;
 use super::upstream::StartAsked;
 use super::upstream::UpstreamFault;
@@ -142,10 +144,7 @@
     /// The dispatchers' logs are written where the variable `RUN_SITE_LOG` holds a filter for them.
     pub fn start(plan: &SitePlan) -> Self {
         show_logs();
-        let services = vec![RunService {
-            name: Arc::from("work"),
-            guards_room: true,
-        }];
+        let services = vec![work_service()];
         let queues = plan.queues.iter().cloned().map(Arc::new).collect();
         let mut site = RunSite {
             now: Timestamp::from_us(1_000),
@@ -363,6 +362,18 @@
         }
     }
 
+    /// Lets one instance read a version of the intended state with these queues.
+    ///
+    /// # Panics
+    ///
+    /// When a queue's name holds blanks or is none.
+    pub fn read_intended(&mut self, node: usize, version: u64, queues: &[&str]) {
+        let body = Bytes::from(format!("{version} {}", queues.join(" ")));
+        let state = QueueNamesDecoder.decode(&body).expect("a valid state");
+        let state = Arc::new(state);
+        self.hand(node, RunEvent::IntendedRead { state, body });
+    }
+
     /// Gives an upstream a label.
     pub fn label_upstream(&mut self, upstream: usize, label: &str) {
         let state = &mut self.upstreams[upstream];
