--- a/lib/tests/calm_runs.rs
+++ b/lib/tests/calm_runs.rs
@@ -8,18 +8,9 @@
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::run_job;
-use almondhead_testsupport::run_site::run_queue;
 
 fn plan() -> SitePlan {
-    SitePlan {
-        data_centres: 2,
-        instances: 2,
-        upstreams: 6,
-        cpu_millicores: 16_000,
-        speeds: vec![1.0],
-        queues: vec![run_queue("look", 0, 3)],
-        seed: 1,
-    }
+    SitePlan::new(2, 2, 6)
 }
 
 fn started() -> RunSite {
--- a/lib/tests/failure_budget.rs
+++ b/lib/tests/failure_budget.rs
@@ -12,13 +12,8 @@
 fn task_starts_as_often_as_its_queue_lets_it_fail() {
     for most in 1..=4 {
         let mut site = RunSite::start(&SitePlan {
-            data_centres: 2,
-            instances: 2,
-            upstreams: 6,
-            cpu_millicores: 16_000,
-            speeds: vec![1.0],
             queues: vec![run_queue("look", 0, most)],
-            seed: 1,
+            ..SitePlan::new(2, 2, 6)
         });
         site.run_ms(1_000);
         for upstream in 0..site.upstreams() {
--- a/lib/tests/intended_changes.rs
+++ b/lib/tests/intended_changes.rs
@@ -5,18 +5,9 @@
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::run_job;
-use almondhead_testsupport::run_site::run_queue;
 
 fn started() -> RunSite {
-    let mut site = RunSite::start(&SitePlan {
-        data_centres: 3,
-        instances: 6,
-        upstreams: 2,
-        cpu_millicores: 16_000,
-        speeds: vec![1.0],
-        queues: vec![run_queue("look", 0, 3)],
-        seed: 1,
-    });
+    let mut site = RunSite::start(&SitePlan::new(3, 6, 2));
     site.run_ms(1_000);
     site
 }
--- a/lib/tests/lost_orders.rs
+++ b/lib/tests/lost_orders.rs
@@ -7,17 +7,11 @@
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::UpstreamFault;
 use almondhead_testsupport::run_site::run_job;
-use almondhead_testsupport::run_site::run_queue;
 
 fn started(seed: u64) -> RunSite {
     let mut site = RunSite::start(&SitePlan {
-        data_centres: 2,
-        instances: 2,
-        upstreams: 6,
-        cpu_millicores: 16_000,
-        speeds: vec![1.0],
-        queues: vec![run_queue("look", 0, 3)],
         seed,
+        ..SitePlan::new(2, 2, 6)
     });
     site.run_ms(1_000);
     site
--- a/lib/tests/neighbour_bound.rs
+++ b/lib/tests/neighbour_bound.rs
@@ -2,19 +2,10 @@
 
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
-use almondhead_testsupport::run_site::run_queue;
 
 /// The messages that one instance sends in a calm second.
 fn messages_a_second(data_centres: u32, instances: u32) -> u64 {
-    let mut site = RunSite::start(&SitePlan {
-        data_centres,
-        instances,
-        upstreams: 2,
-        cpu_millicores: 16_000,
-        speeds: vec![1.0],
-        queues: vec![run_queue("look", 0, 3)],
-        seed: 1,
-    });
+    let mut site = RunSite::start(&SitePlan::new(data_centres, instances, 2));
     site.run_ms(2_000);
     let (_, before) = site.traffic();
     site.run_ms(1_000);
--- a/lib/tests/random_faults.rs
+++ b/lib/tests/random_faults.rs
@@ -5,7 +5,6 @@
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::UpstreamFault;
 use almondhead_testsupport::run_site::run_job;
-use almondhead_testsupport::run_site::run_queue;
 
 /// The seeds played in CI; `RANDOM_FAULTS_SEEDS=1000..1200` plays others.
 ///
@@ -112,13 +111,9 @@
 
 fn play(seed: u64) {
     let mut site = RunSite::start(&SitePlan {
-        data_centres: 3,
-        instances: 2,
-        upstreams: 5,
-        cpu_millicores: 16_000,
         speeds: vec![0.8, 1.0, 1.25],
-        queues: vec![run_queue("look", 0, 3)],
         seed,
+        ..SitePlan::new(3, 2, 5)
     });
     site.run_ms(1_000);
     let mut next = 1;
--- a/lib/tests/upstream_owners.rs
+++ b/lib/tests/upstream_owners.rs
@@ -6,17 +6,11 @@
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::run_job;
-use almondhead_testsupport::run_site::run_queue;
 
 fn started(seed: u64) -> RunSite {
     let mut site = RunSite::start(&SitePlan {
-        data_centres: 3,
-        instances: 2,
-        upstreams: 6,
-        cpu_millicores: 16_000,
-        speeds: vec![1.0],
-        queues: vec![run_queue("look", 0, 3)],
         seed,
+        ..SitePlan::new(3, 2, 6)
     });
     site.run_ms(1_000);
     site
@@ -290,15 +284,7 @@
 
 #[test]
 fn start_under_way_to_a_newer_owner_is_placed_again() {
-    let mut site = RunSite::start(&SitePlan {
-        data_centres: 1,
-        instances: 3,
-        upstreams: 6,
-        cpu_millicores: 16_000,
-        speeds: vec![1.0],
-        queues: vec![run_queue("look", 0, 3)],
-        seed: 1,
-    });
+    let mut site = RunSite::start(&SitePlan::new(1, 3, 6));
     // The first one has read the roster before the others registered.
     site.run_ms(20);
     site.submit(0, "look", "00000000000000aa", &run_job(8, 6_800, 60));
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -32,6 +32,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use super::job::run_queue;
 use super::node::QueueNamesDecoder;
 use super::node::SimNode;
 use super::node::work_service;
@@ -59,6 +60,22 @@
     pub seed: u64,
 }
 
+impl SitePlan {
+    /// Data centres with so many instances and upstreams each, all upstreams alike, and the one
+    /// queue `look`.
+    pub fn new(data_centres: u32, instances: u32, upstreams: u32) -> Self {
+        SitePlan {
+            data_centres,
+            instances,
+            upstreams,
+            cpu_millicores: 16_000,
+            speeds: vec![1.0],
+            queues: vec![run_queue("look", 0, 3)],
+            seed: 1,
+        }
+    }
+}
+
 /// What happens to orders.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OrderFault {
