runs: finish jobs that have begun, and refuse the others at their objective

Cause: under sustained overload tasks that could still meet their objective always went first, so the last tasks of jobs that had begun waited behind newer jobs until their callers left, and what had run was wasted. Change: an owner knows whether a job has begun (a task found room when it was placed, or has started there); tasks of such jobs go first, the least slack at the head. A home that hears so of some tasks only waits 10 ms for word of the others, then places them as those of a job that has begun.

--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -163,6 +163,7 @@
             deadline_left_us: to_us(batch.deadline_left),
             demands: batch.demands.into_iter().map(Into::into).collect(),
             tasks: batch.tasks.into_iter().map(Into::into).collect(),
+            is_begun: batch.is_begun,
         }
     }
 }
@@ -181,6 +182,7 @@
             deadline_left: Duration::from_micros(batch.deadline_left_us),
             demands: decode_list("run_batch.demands", batch.demands, MAX_TASKS)?,
             tasks: decode_list("run_batch.tasks", batch.tasks, MAX_TASKS)?,
+            is_begun: batch.is_begun,
         })
     }
 }
@@ -348,6 +350,7 @@
     fn from(reason: NotStarted) -> Self {
         match reason {
             NotStarted::TooLate => proto::NotStartedReason::TooLate,
+            NotStarted::Overdue => proto::NotStartedReason::Overdue,
             NotStarted::OldRun => proto::NotStartedReason::OldRun,
             NotStarted::Refused => proto::NotStartedReason::Refused,
             NotStarted::NoUpstream => proto::NotStartedReason::NoUpstream,
@@ -365,6 +368,7 @@
     };
     match proto::NotStartedReason::try_from(number) {
         Ok(proto::NotStartedReason::TooLate) => Ok(NotStarted::TooLate),
+        Ok(proto::NotStartedReason::Overdue) => Ok(NotStarted::Overdue),
         Ok(proto::NotStartedReason::OldRun) => Ok(NotStarted::OldRun),
         Ok(proto::NotStartedReason::Refused) => Ok(NotStarted::Refused),
         Ok(proto::NotStartedReason::NoUpstream) => Ok(NotStarted::NoUpstream),
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -503,6 +503,9 @@
     /// The tasks.
     #[prost(message, repeated, tag = "9")]
     pub tasks: ::prost::alloc::vec::Vec<PlacedTask>,
+    /// Whether other tasks of the job run or have run.
+    #[prost(bool, tag = "10")]
+    pub is_begun: bool,
 }
 /// What the tasks of one step need.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -976,6 +979,7 @@
     Stale = 5,
     Leaving = 6,
     Invalid = 7,
+    Overdue = 8,
 }
 impl NotStartedReason {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -992,6 +996,7 @@
             Self::Stale => "NOT_STARTED_REASON_STALE",
             Self::Leaving => "NOT_STARTED_REASON_LEAVING",
             Self::Invalid => "NOT_STARTED_REASON_INVALID",
+            Self::Overdue => "NOT_STARTED_REASON_OVERDUE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -1005,6 +1010,7 @@
             "NOT_STARTED_REASON_STALE" => Some(Self::Stale),
             "NOT_STARTED_REASON_LEAVING" => Some(Self::Leaving),
             "NOT_STARTED_REASON_INVALID" => Some(Self::Invalid),
+            "NOT_STARTED_REASON_OVERDUE" => Some(Self::Overdue),
             _ => None,
         }
     }
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -34,6 +34,8 @@
     pub(crate) demands: Vec<StepDemand>,
     pub(crate) tasks: Vec<HeldTask>,
     pub(crate) open_tasks: usize,
+    /// Whether a task of the job runs or has run, as far as is known here.
+    pub(crate) is_begun: bool,
     pub(crate) unreported: Vec<TaskEnd>,
     pub(crate) done_runs: Vec<DoneRun>,
 }
@@ -93,6 +95,7 @@
             demands: batch.demands,
             open_tasks: tasks.len(),
             tasks,
+            is_begun: batch.is_begun,
             unreported: Vec::new(),
             done_runs: Vec::new(),
         })
@@ -135,6 +138,19 @@
         Timestamp::ZERO + left.saturating_sub(least)
     }
 
+    /// How long a task waits for room: to the time by which its job is to end, or, where the job
+    /// has begun, as long as the task can end before its caller leaves.
+    ///
+    /// Upstreams do as much work whichever tasks wait. Jobs that wait longer keep others waiting
+    /// beyond their objectives too; refused, their callers know sooner and may come back.
+    pub(crate) fn waits_until(&self, task: TaskIndex) -> Timestamp {
+        let start_by = self.start_by(task);
+        match self.is_begun {
+            true => start_by,
+            false => start_by.min(self.objective_at()),
+        }
+    }
+
     /// How long until the job is to end, zero once that has passed.
     pub(crate) fn objective_left(&self, now: Timestamp) -> Duration {
         let now_us = i64::try_from(now.as_us()).unwrap_or(i64::MAX);
@@ -142,6 +158,12 @@
         Duration::from_micros(u64::try_from(left_us).unwrap_or(0))
     }
 
+    /// When the job is to end.
+    fn objective_at(&self) -> Timestamp {
+        let at_us = u64::try_from(self.objective_at_us).unwrap_or(0);
+        Timestamp::ZERO + Duration::from_micros(at_us)
+    }
+
     /// The expected work of a task in milliseconds of one core.
     pub(crate) fn core_ms(&self, task: TaskIndex) -> u64 {
         let demand = self.demand(task);
--- a/lib/src/runs/held_queue.rs
+++ b/lib/src/runs/held_queue.rs
@@ -15,6 +15,8 @@
     pub(crate) taken_at: Timestamp,
     /// The rank of the queue, zero first.
     pub(crate) priority: u32,
+    /// Whether other tasks of the job run or have run.
+    pub(crate) is_begun: bool,
 }
 
 /// A place in the order; the least starts first.
@@ -31,8 +33,11 @@
     fn rank(&self, now: Timestamp, task: &QueuedView) -> QueueRank;
 }
 
-/// Tasks that can still meet their objective go first, the one with the least slack at the head;
-/// those that cannot follow in the order of their coming.
+/// Tasks that can still meet their objective and those of jobs that have begun go first, the one
+/// with the least slack at the head; the others follow in the order of their coming.
+///
+/// A job is answered only when its last task is done: leaving one of a job that has begun behind
+/// others wastes what the job has run.
 #[derive(Debug, Default)]
 pub(crate) struct LeastSlack;
 
@@ -40,7 +45,7 @@
     fn rank(&self, now: Timestamp, task: &QueuedView) -> QueueRank {
         let now_us = i64::try_from(now.as_us()).unwrap_or(i64::MAX);
         let start_by_us = task.objective_at_us.saturating_sub(task.expected_run_us);
-        if start_by_us >= now_us {
+        if task.is_begun || start_by_us >= now_us {
             return QueueRank {
                 class: 0,
                 by_us: start_by_us,
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -41,6 +41,10 @@
 /// They are due at the same time; a message takes a few milliseconds.
 const ENDING_TIME: Duration = Duration::from_millis(30);
 
+/// How long after one task of a job was reported overdue the others of a job that has not begun
+/// are reported too: owners give them up at the same moment, and a message takes milliseconds.
+const OVERDUE_TIME: Duration = Duration::from_millis(10);
+
 /// How long a task adrift waits for the next owner of its upstream to ask for it.
 pub(crate) const ADRIFT_TIME: Duration = Duration::from_millis(700);
 
@@ -72,6 +76,8 @@
     Deadline(HomeJobKey),
     /// The ends of the job's other tasks are overdue.
     Ending(HomeJobKey),
+    /// Some of a job's tasks are overdue and others are not.
+    Overdue(HomeJobKey),
     /// A task adrift has not been asked for.
     Adrift(HomeJobKey),
     /// The answer of an ended job is kept no longer.
@@ -215,6 +221,7 @@
             open_tasks: tasks.len(),
             tasks,
             may_have_run: false,
+            is_begun: false,
             ending: None,
             placements: 0,
             no_owner_since: None,
@@ -343,6 +350,7 @@
         job.tasks[task].state = HomeState::Waiting;
         match reason {
             NotStarted::TooLate => return self.begin_ending(now, key, NotRun::WaitedTooLong),
+            NotStarted::Overdue => return self.set_overdue(now, key, task),
             NotStarted::OldRun => job.tasks[task].run += 1,
             NotStarted::Invalid => return self.end_job(now, key, JobEnd::Failed),
             _ => {}
@@ -353,6 +361,35 @@
         self.is_dirty = true;
     }
 
+    /// Keeps a task back for which no room was found in time, until the job's other tasks are
+    /// known to wait as well or to run.
+    fn set_overdue(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
+        let job = &mut self.jobs[key];
+        job.tasks[task].state = HomeState::Overdue;
+        if job.may_have_run {
+            return self.place_overdue(key);
+        }
+        if !job.is_placed() {
+            return self.end_unfinished(now, key, Unfinished::NotRun(NotRun::WaitedTooLong));
+        }
+        self.timers
+            .subscribe(now + OVERDUE_TIME, HomeTimer::Overdue(key));
+    }
+
+    /// Places overdue tasks once more, ahead of jobs that have not begun.
+    fn place_overdue(&mut self, key: HomeJobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        for task in &mut job.tasks {
+            if task.state == HomeState::Overdue {
+                task.state = HomeState::Waiting;
+                job.is_begun = true;
+                self.is_dirty = true;
+            }
+        }
+    }
+
     /// Lets a task that runs no more start once more, while there is time.
     fn start_over(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
         let job = &mut self.jobs[key];
@@ -809,6 +846,7 @@
             match timer {
                 HomeTimer::Deadline(key) => self.pass_deadline(now, key),
                 HomeTimer::Ending(key) => self.ending_overdue(now, key),
+                HomeTimer::Overdue(key) => self.place_overdue(key),
                 HomeTimer::Adrift(key) => self.adrift_overdue(now, key),
                 HomeTimer::Forget(id) => {
                     self.ended.swap_remove(&id);
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -38,6 +38,8 @@
     pub(crate) open_tasks: usize,
     /// Whether some run may have started.
     pub(crate) may_have_run: bool,
+    /// Whether a task was placed where it could start at once.
+    pub(crate) is_begun: bool,
     /// Why it will end unfinished, once that is known.
     pub(crate) ending: Option<NotRun>,
     pub(crate) placements: u32,
@@ -81,6 +83,9 @@
         /// The owner out of reach and its batch; none when another owner has the upstream.
         from: Option<(OwnerRef, u64)>,
     },
+    /// Its owner had no room until its objective had passed; what is known of the job's other
+    /// tasks decides about it.
+    Overdue,
     /// It is done.
     Done,
 }
@@ -232,6 +237,7 @@
             deadline_left: self.deadline.since(now),
             demands: demands.collect(),
             tasks: placed.collect(),
+            is_begun: self.is_begun || self.may_have_run,
         }
     }
 }
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -555,20 +555,38 @@
             }
         }
         self.queue = left;
+        self.drop_overdue(now);
         self.wake_for_next_late();
     }
 
     /// Drops queued tasks that could no longer end before their callers leave.
     fn drop_late(&mut self, now: Timestamp) {
+        let start_by = |batch: &HeldBatch, task| batch.start_by(task);
+        self.drop_queued(now, start_by, NotStarted::TooLate);
+    }
+
+    /// Drops queued tasks for which no room was found until their jobs should have ended, where
+    /// these have not begun.
+    fn drop_overdue(&mut self, now: Timestamp) {
+        let waits_until = |batch: &HeldBatch, task| batch.waits_until(task);
+        self.drop_queued(now, waits_until, NotStarted::Overdue);
+    }
+
+    /// Drops queued tasks whose time has passed.
+    fn drop_queued(
+        &mut self,
+        now: Timestamp,
+        until: impl Fn(&HeldBatch, TaskIndex) -> Timestamp,
+        reason: NotStarted,
+    ) {
         let batches = &self.batches;
-        let is_late = |(key, task): &mut (HeldBatchKey, TaskIndex)| {
-            batches
-                .get(*key)
-                .is_none_or(|batch| batch.start_by(*task) < now)
+        let is_over = |(key, task): &mut (HeldBatchKey, TaskIndex)| {
+            let batch = batches.get(*key);
+            batch.is_none_or(|batch| until(batch, *task) < now)
         };
-        let late: Vec<(HeldBatchKey, TaskIndex)> = self.queue.extract_if(.., is_late).collect();
-        for (key, task) in late {
-            self.report(key, task, RunEnd::NotStarted(NotStarted::TooLate));
+        let over: Vec<(HeldBatchKey, TaskIndex)> = self.queue.extract_if(.., is_over).collect();
+        for (key, task) in over {
+            self.report(key, task, RunEnd::NotStarted(reason));
         }
     }
 
@@ -577,7 +595,7 @@
         let start_bys = self
             .queue
             .iter()
-            .map(|(key, task)| batches[*key].start_by(*task));
+            .map(|(key, task)| batches[*key].waits_until(*task));
         if let Some(at) = start_bys.min() {
             let after = at + Duration::from_millis(1);
             self.timers.subscribe(after, OwnerTimer::Dispatch);
@@ -641,6 +659,7 @@
         let spec = batch.spec.clone();
         let waited_ms = whole_ms(now.since(batch.taken_at));
         batch.tasks[task].state = HeldState::Running(on);
+        batch.is_begun = true;
         let lease = self.lease;
         let upstream = &mut self.upstreams[on];
         let expected = expected.mul_f64(upstream.speed.slowness());
@@ -836,5 +855,6 @@
         expected_run_us: i64::try_from(expected_us).unwrap_or(i64::MAX),
         taken_at: batch.taken_at,
         priority: batch.priority,
+        is_begun: batch.is_begun,
     }
 }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -97,6 +97,8 @@
     pub demands: Vec<StepDemand>,
     /// The tasks.
     pub tasks: Vec<PlacedTask>,
+    /// Whether other tasks of the job run or have run.
+    pub is_begun: bool,
 }
 
 /// What the tasks of one step need.
@@ -192,6 +194,9 @@
     /// It could no longer end in time.
     #[display("too_late")]
     TooLate,
+    /// It waited past its job's objective, and nothing of the job runs there.
+    #[display("overdue")]
+    Overdue,
     /// The upstream remembers a run with a number as high.
     #[display("old_run")]
     OldRun,
--- a/lib/src/runs/spread.rs
+++ b/lib/src/runs/spread.rs
@@ -47,6 +47,8 @@
 pub(crate) struct Choice {
     pub(crate) view: usize,
     pub(crate) wait: Duration,
+    /// Whether an upstream there has room for it now, as far as is known here.
+    pub(crate) has_room: bool,
 }
 
 impl OwnerView {
@@ -85,7 +87,11 @@
         reach.take(views[view].owner);
         views[view].free[upstream].room -= room;
         let wait = Duration::ZERO;
-        return Some(Choice { view, wait });
+        return Some(Choice {
+            view,
+            wait,
+            has_room: true,
+        });
     }
     if task.is_run_known {
         // Only an upstream that is fast enough helps, and none is free: the home looks again.
@@ -97,7 +103,11 @@
     let wait = least.wait();
     reach.take(least.owner);
     views[view].queued_core_ms += core_ms(room.cpu_millicores, task.expected_run);
-    Some(Choice { view, wait })
+    Some(Choice {
+        view,
+        wait,
+        has_room: false,
+    })
 }
 
 /// The best upstream with room for a task now, by its owner's place and its own.
