runs: say in logs what a dropped message was about

Cause: the field was called message, which in JSON takes the place of the line's own message; what stood there was the whole message with job ids as lists of numbers.

--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -653,7 +653,8 @@
             if is_useful && is_same {
                 self.send_as_of(unsent.sent_at, unsent.peer, unsent.message);
             } else {
-                tracing::warn!(message = ?unsent.message, "message to an instance dropped");
+                let peer = peer.map_or("unknown", |peer| &peer.name);
+                tracing::warn!(peer, content = %unsent.message, "message to an instance dropped");
             }
         }
     }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -27,12 +27,15 @@
     pub message: RunMessage,
 }
 
-/// A message about leased runs.
+/// A message about leased runs; its text, for logs, names what it is about.
 #[value]
+#[derive(derive_more::Display)]
 pub enum RunMessage {
     /// Run these tasks on upstreams of the receiver.
+    #[display("batch {} of job {}", _0.number, _0.job)]
     Place(RunBatch),
     /// Hold these runs, which run already on an upstream that the receiver has taken over.
+    #[display("batch {} of job {} adopted on {upstream}", batch.number, batch.job)]
     Adopt {
         /// The upstream.
         upstream: Arc<str>,
@@ -40,13 +43,16 @@
         batch: RunBatch,
     },
     /// How tasks of a batch ended.
+    #[display("{} ends of batch {}", _0.ends.len(), _0.batch)]
     Ends(RunEnds),
     /// Stop what is left of these batches of the sender.
+    #[display("{} batches cancelled", batches.len())]
     Cancel {
         /// The numbers of the batches.
         batches: Vec<u64>,
     },
     /// The sender has taken over an upstream and found runs there that it did not start.
+    #[display("{} runs and {} ends found on {upstream}", running.len(), ended.len())]
     Found {
         /// The upstream.
         upstream: Arc<str>,
@@ -56,18 +62,22 @@
         ended: Vec<FoundEnd>,
     },
     /// The sender's load, and which batches it believes open.
+    #[display("report")]
     Report(PeerReport),
     /// Cancel the job if the receiver is its home.
+    #[display("job {job} cancelled")]
     CancelJob {
         /// The job.
         job: JobId,
     },
     /// Ask for the intended state that the receiver holds.
+    #[display("intended state wanted after version {have_version}")]
     IntendedRequest {
         /// The version that the sender holds, zero when none.
         have_version: u64,
     },
     /// The intended state that the sender holds, as the platform stores it.
+    #[display("intended state of version {version}")]
     IntendedBody {
         /// The version.
         version: u64,
