--- a/entry/tests/leased_site.rs
+++ b/entry/tests/leased_site.rs
@@ -1,146 +1,37 @@
 //! Whole processes that dispatch leased runs, against stand-ins of the operators' platform.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use almondhead_lib::runs::intended_state::IntendedState;
-use almondhead_lib::runs::intended_state::RequestLimits;
-use almondhead_lib::runs::intended_state::RunService;
 use almondhead_platform_standins::CallerAnswer;
 use almondhead_platform_standins::OrderFate;
+use almondhead_platform_standins::ProcessSite;
 use almondhead_platform_standins::StoreFault;
-use almondhead_platform_standins::StoreStandIn;
-use almondhead_platform_standins::UpstreamStandIn;
 use almondhead_platform_standins::submit;
-use almondhead_testsupport::ProcessHandle;
-use almondhead_testsupport::free_address;
 use almondhead_testsupport::run_site::run_job;
-use almondhead_testsupport::run_site::run_queue;
 use almondhead_testsupport::site::TestResult;
-use almondhead_testsupport::workspace_binary;
-use serde_json::json;
 use smol::Timer;
-use tempfile::TempDir;
 
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const CALLER_WAIT: Duration = Duration::from_millis(1_500);
 
-struct Instance {
-    process: ProcessHandle,
-    callers: SocketAddr,
-    ready: SocketAddr,
-    operators: SocketAddr,
+async fn ask(site: &ProcessSite, instance: usize, job: u64, tasks: u32) -> Option<CallerAnswer> {
+    let path = format!("/look/{job:016x}");
+    let address = site.instances[instance].callers;
+    let job = run_job(tasks, 6_800, 60);
+    submit(address, &path, &job, CALLER_WAIT).await.ok()
 }
 
-struct Site {
-    store: StoreStandIn,
-    upstreams: Vec<UpstreamStandIn>,
-    settings: TempDir,
-    instances: Vec<Instance>,
-}
-
-/// A queue for each instance, since callers name the address that they call as their host.
-fn intended(version: u64, instances: &[Instance]) -> IntendedState {
-    let queues = instances.iter().map(|instance| {
-        let mut queue = run_queue("look", 0, 3);
-        queue.host = Arc::from(instance.callers.ip().to_string());
-        Arc::new(queue)
-    });
-    IntendedState {
-        version,
-        queues: queues.collect(),
-        services: vec![RunService {
-            name: Arc::from("work"),
-            guards_room: true,
-        }],
-        limits: RequestLimits::default(),
-    }
-}
-
-impl Site {
-    async fn start(instances: usize, upstreams: usize) -> Result<Site, Box<dyn std::error::Error>> {
-        let mut site = Site {
-            store: StoreStandIn::start().await?,
-            upstreams: Vec::new(),
-            settings: TempDir::new()?,
-            instances: Vec::new(),
-        };
-        for number in 0..upstreams {
-            let run_time = Duration::from_millis(60);
-            let upstream =
-                UpstreamStandIn::start(&format!("i-{number}"), "north", run_time).await?;
-            site.store.put_upstream(&upstream.listed());
-            site.upstreams.push(upstream);
+/// How often each task was started, over all upstreams.
+fn starts(site: &ProcessSite) -> BTreeMap<String, u64> {
+    let mut starts = BTreeMap::new();
+    for upstream in &site.upstreams {
+        for (task, times) in upstream.starts() {
+            *starts.entry(task).or_default() += times;
         }
-        for number in 0..instances {
-            let instance = site.start_instance(number)?;
-            site.instances.push(instance);
-        }
-        site.store.put_intended(&intended(1, &site.instances));
-        for number in 0..instances {
-            site.wait_until_ready(number).await?;
-        }
-        Ok(site)
-    }
-
-    fn start_instance(&self, number: usize) -> Result<Instance, Box<dyn std::error::Error>> {
-        let (callers, ready) = (free_address()?, free_address()?);
-        let (peers, operators) = (free_address()?, free_address()?);
-        let settings = json!({
-            "instance": format!("entry-{number}"),
-            "data_centre": "north",
-            "caller_address": callers,
-            "peer_address": peers,
-            "operator_address": operators,
-            "platform_address": self.store.address(),
-            "leased_runs": { "ready_address": ready, "lease_ms": 1_000, "stop_grace_ms": 6_000 },
-        });
-        let file = self
-            .settings
-            .path()
-            .join(format!("{number}-{}.json", callers.port()));
-        std::fs::write(&file, settings.to_string())?;
-        let binary = workspace_binary("almondhead");
-        let arguments = ["--settings".into(), file.into_os_string()];
-        Ok(Instance {
-            process: ProcessHandle::start(&binary, arguments)?,
-            callers,
-            ready,
-            operators,
-        })
-    }
-
-    async fn wait_until_ready(&mut self, number: usize) -> TestResult {
-        let instance = &mut self.instances[number];
-        let ready = instance.ready;
-        let path = almondhead_platform::READY_PATH;
-        instance
-            .process
-            .wait_for_ok(ready, path, START_TIMEOUT)
-            .await?;
-        Ok(())
-    }
-
-    async fn ask(&self, instance: usize, job: u64, tasks: u32) -> Option<CallerAnswer> {
-        let path = format!("/look/{job:016x}");
-        let address = self.instances[instance].callers;
-        let job = run_job(tasks, 6_800, 60);
-        submit(address, &path, &job, CALLER_WAIT).await.ok()
-    }
-
-    /// How often each task was started, over all upstreams.
-    fn starts(&self) -> BTreeMap<String, u64> {
-        let mut starts = BTreeMap::new();
-        for upstream in &self.upstreams {
-            for (task, times) in upstream.starts() {
-                *starts.entry(task).or_default() += times;
-            }
-        }
-        starts
     }
+    starts
 }
 
 fn is_completed(answer: &Option<CallerAnswer>) -> bool {
@@ -151,12 +42,12 @@
 #[test]
 fn jobs_are_served_from_end_to_end() -> TestResult {
     smol::block_on(async {
-        let site = Site::start(2, 4).await?;
+        let site = ProcessSite::start(2, 4).await?;
         for job in 0..10 {
-            let answer = site.ask(job as usize % 2, job, 4).await;
+            let answer = ask(&site, job as usize % 2, job, 4).await;
             assert!(is_completed(&answer), "{answer:?}");
         }
-        let starts = site.starts();
+        let starts = starts(&site);
         assert_eq!(starts.len(), 40);
         assert!(starts.values().all(|times| *times == 1));
         let path = "/other/0000000000000001";
@@ -170,12 +61,7 @@
 #[test]
 fn instance_without_an_intended_state_says_so() -> TestResult {
     smol::block_on(async {
-        let mut site = Site {
-            store: StoreStandIn::start().await?,
-            upstreams: Vec::new(),
-            settings: TempDir::new()?,
-            instances: Vec::new(),
-        };
+        let mut site = ProcessSite::empty().await?;
         site.store.set_fault(StoreFault::Silent);
         let mut instance = site.start_instance(0)?;
         instance
@@ -183,7 +69,7 @@
             .wait_for_line("started", START_TIMEOUT)
             .await?;
         site.instances.push(instance);
-        let answer = site.ask(0, 1, 1).await.expect("an answer");
+        let answer = ask(&site, 0, 1, 1).await.expect("an answer");
         assert_eq!(answer.status, 503);
         assert_eq!(answer.reason.as_deref(), Some("no_intended_state"));
         assert!(answer.retry_after_s.is_some());
@@ -194,12 +80,12 @@
 #[test]
 fn store_away_does_not_stop_the_service() -> TestResult {
     smol::block_on(async {
-        let site = Site::start(2, 4).await?;
+        let site = ProcessSite::start(2, 4).await?;
         for fault in [StoreFault::Silent, StoreFault::Busy] {
             site.store.set_fault(fault);
             for job in 0..6 {
                 Timer::after(Duration::from_millis(300)).await;
-                let answer = site.ask(job as usize % 2, 1_000 + job, 4).await;
+                let answer = ask(&site, job as usize % 2, 1_000 + job, 4).await;
                 assert!(is_completed(&answer), "{fault:?}: {answer:?}");
             }
             site.store.set_fault(StoreFault::None);
@@ -211,10 +97,10 @@
 #[test]
 fn lost_orders_run_no_task_twice_at_a_time() -> TestResult {
     smol::block_on(async {
-        let site = Site::start(2, 4).await?;
+        let site = ProcessSite::start(2, 4).await?;
         for (job, fate) in [(1, OrderFate::AnswerLost), (2, OrderFate::Lost)] {
             site.upstreams[0].set_fate(fate);
-            let answer = site.ask(0, job, 8).await;
+            let answer = ask(&site, 0, job, 8).await;
             site.upstreams[0].set_fate(OrderFate::Answered);
             assert!(
                 answer.is_some_and(|answer| answer.status != 429),
@@ -233,8 +119,8 @@
 #[test]
 fn stopping_instance_answers_and_leaves() -> TestResult {
     smol::block_on(async {
-        let mut site = Site::start(2, 4).await?;
-        let asked = site.ask(0, 1, 8);
+        let mut site = ProcessSite::start(2, 4).await?;
+        let asked = ask(&site, 0, 1, 8);
         let process = &site.instances[0].process;
         let id = process.id();
         let stop = async {
@@ -258,7 +144,7 @@
         }
         // Its upstreams belong to the other one now.
         Timer::after(Duration::from_millis(1_500)).await;
-        let answer = site.ask(1, 2, 8).await;
+        let answer = ask(&site, 1, 2, 8).await;
         assert!(is_completed(&answer), "{answer:?}");
         Ok(())
     })
@@ -267,16 +153,16 @@
 #[test]
 fn killed_instance_comes_back_by_itself() -> TestResult {
     smol::block_on(async {
-        let mut site = Site::start(2, 4).await?;
+        let mut site = ProcessSite::start(2, 4).await?;
         let dead = site.instances.remove(0);
         drop(dead);
         let again = site.start_instance(0)?;
         site.instances.insert(0, again);
-        site.store.put_intended(&intended(2, &site.instances));
+        site.put_intended();
         site.wait_until_ready(0).await?;
         Timer::after(Duration::from_millis(1_000)).await;
         for job in 0..4 {
-            let answer = site.ask(job as usize % 2, 10 + job, 8).await;
+            let answer = ask(&site, job as usize % 2, 10 + job, 8).await;
             assert!(is_completed(&answer), "{answer:?}");
         }
         Ok(())
@@ -286,8 +172,8 @@
 #[test]
 fn logs_and_metrics_tell_of_a_job() -> TestResult {
     smol::block_on(async {
-        let site = Site::start(1, 2).await?;
-        let answer = site.ask(0, 0xabc, 2).await;
+        let site = ProcessSite::start(1, 2).await?;
+        let answer = ask(&site, 0, 0xabc, 2).await;
         assert!(is_completed(&answer), "{answer:?}");
         Timer::after(Duration::from_millis(200)).await;
         let lines = site.instances[0].process.output();
