--- a/entry/tests/fault_soak.rs
+++ b/entry/tests/fault_soak.rs
@@ -204,6 +204,8 @@
 async fn restart(site: &mut ProcessSite, board: &SharedBoard, at: usize) -> TestResult {
     site.instances[at] = site.start_instance(at)?;
     lock(board).addresses[at] = site.instances[at].callers;
+    // Its host is new.
+    site.put_intended();
     Ok(())
 }
 
@@ -338,11 +340,13 @@
             let address = site.instances[number].callers;
             let spec = run_job(4, 6_800, 60);
             let answer = submit_over(&client, address, &path, &spec, CALLER_WAIT).await;
-            if answer.is_ok_and(|answer| answer.state.as_deref() == Some("completed")) {
+            let answer = answer.ok();
+            let state = answer.as_ref().and_then(|answer| answer.state.as_deref());
+            if state == Some("completed") {
                 break;
             }
             if Instant::now() > until {
-                return Err(format!("seed {seed}: entry-{number} does not serve again").into());
+                return Err(format!("entry-{number} does not serve again: {answer:?}").into());
             }
             Timer::after(Duration::from_millis(100)).await;
         }
@@ -400,7 +404,10 @@
     for (fault, _) in active {
         end(&mut site, &board, fault).await?;
     }
-    recover(&mut site, seed).await?;
+    if let Err(error) = recover(&mut site, seed).await {
+        print_logs(&site);
+        return Err(format!("faults {played:?}: {error}").into());
+    }
     lock(&board).is_over = true;
     for caller in callers {
         caller.await;
@@ -424,18 +431,27 @@
     if broken.is_empty() {
         return Ok(());
     }
+    print_logs(&site);
+    Err(format!("faults {played:?}: {broken:#?}").into())
+}
+
+fn print_logs(site: &ProcessSite) {
     for instance in &site.instances {
         for line in instance.process.output() {
             println!("{line}");
         }
     }
-    Err(format!("seed {seed}, faults {played:?}: {broken:#?}").into())
 }
 
 #[test]
 fn promises_hold_under_random_faults() -> TestResult {
-    let failed = seeds().filter_map(|seed| smol::block_on(play(seed)).err());
-    let failed: Vec<String> = failed.map(|error| error.to_string()).collect();
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        if let Err(error) = smol::block_on(play(seed)) {
+            println!("seed {seed} failed: {error}");
+            failed.push(format!("seed {seed}: {error}"));
+        }
+    }
     assert!(failed.is_empty(), "{}", failed.join("\n"));
     Ok(())
 }
