--- a/entry/tests/fault_soak.rs
+++ b/entry/tests/fault_soak.rs
@@ -36,6 +36,12 @@
 /// The seeds played in CI.
 const SEEDS: Range<u64> = 1..3;
 
+/// Seeds that failed once, played in CI too.
+///
+/// 3, 4 and 35: an instance that came back at a new address had no queue for it. 3 and 5: callers
+/// sent a job again at once, while a run of it was being stopped or a held start took effect.
+const FAILED_SEEDS: [u64; 4] = [3, 4, 5, 35];
+
 /// The faults of a seed played in CI.
 const STEPS: u64 = 12;
 
@@ -60,7 +66,6 @@
     tasks: u32,
     instance: usize,
     sent_at: Instant,
-    left_at: Instant,
     sent_times: u32,
     answer: Option<CallerAnswer>,
 }
@@ -70,7 +75,7 @@
 struct Board {
     addresses: Vec<SocketAddr>,
     asked: Vec<Asked>,
-    /// Since when an instance has been sound; none while a signal of ours acts on it.
+    /// Since when an instance has been sound; none from the time at which a signal of ours ends it.
     sound_since: Vec<Option<Instant>>,
     next_job: u64,
     is_over: bool,
@@ -254,7 +259,6 @@
                 tasks,
                 instance,
                 sent_at,
-                left_at: Instant::now(),
                 sent_times,
                 answer,
             });
@@ -324,7 +328,7 @@
 /// Whether an instance that was sound all the while left a request without an answer.
 fn is_unanswered(asked: &Asked, board: &Board) -> bool {
     let sound_since = board.sound_since[asked.instance];
-    sound_since.is_some_and(|since| since < asked.sent_at) && asked.left_at > asked.sent_at
+    sound_since.is_some_and(|since| since < asked.sent_at)
 }
 
 /// Waits until every instance is ready and completes a job.
@@ -358,13 +362,14 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(usual)
 }
 
-fn seeds() -> Range<u64> {
+fn seeds() -> Vec<u64> {
     let chosen = env::var("FAULT_SOAK_SEEDS").ok();
     let range = chosen.and_then(|text| {
         let (from, to) = text.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
+        let range: Range<u64> = from.parse().ok()?..to.parse().ok()?;
+        Some(range.collect())
     });
-    range.unwrap_or(SEEDS)
+    range.unwrap_or_else(|| SEEDS.chain(FAILED_SEEDS).collect())
 }
 
 async fn play(seed: u64) -> TestResult {
