--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -229,6 +229,7 @@
             spec,
         };
         job.unblock();
+        log_accepted(now, &job);
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.requests.insert(request, key);
@@ -398,7 +399,7 @@
         state.state = HomeState::Waiting;
         self.is_dirty = true;
         let job = &self.jobs[key];
-        if now + job.least_run(task) > job.deadline {
+        if job.is_hopeless(now, task) {
             self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
         }
     }
@@ -412,6 +413,8 @@
         from: Option<(OwnerRef, u64)>,
     ) {
         let job = &mut self.jobs[key];
+        let age_ms = whole_ms(now.since(since));
+        tracing::info!(job = %job.id, run = %job.run(task), age_ms, ?from, "run adrift");
         job.tasks[task].state = HomeState::Adrift { since, from };
         let claimable_until = (since + CLAIMABLE_TIME).max(now);
         let due = claimable_until.min(now + ADRIFT_TIME);
@@ -436,6 +439,8 @@
             };
             let ended_at = since + SURELY_ENDED;
             if ended_at <= now {
+                let age_ms = whole_ms(now.since(since));
+                tracing::info!(job = %job.id, run = %job.run(task), age_ms, "adrift run is over");
                 self.start_over(now, key, task);
             } else if ended_at + job.least_run(task) > job.deadline {
                 self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::OwnerLost));
@@ -490,6 +495,11 @@
                 },
             };
             if let Some((key, task)) = self.claimable(found.run) {
+                tracing::info!(
+                    job = %found.run.task.job, run = %found.run, upstream = %upstream,
+                    owner = self.owner_name(owner), state = ?self.jobs[key].tasks[task].state,
+                    "end found by another owner"
+                );
                 self.end_task(now, key, task, end);
             }
         }
@@ -560,10 +570,10 @@
                 batch: number,
             };
             for task in self.tasks_in(key, |state| state == placed) {
+                let run = self.jobs[key].run(task);
                 tracing::warn!(
-                    batch = number,
-                    owner = self.owner_name(owner),
-                    is_adoption,
+                    job = %run.task.job, run = %run, batch = number, highest_taken,
+                    owner = self.owner_name(owner), is_adoption,
                     "batch not held by its owner"
                 );
                 if is_adoption {
@@ -594,7 +604,12 @@
                 let Some(batch) = from_owner(job.tasks[task].state) else {
                     continue;
                 };
-                if held.contains(&batch) {
+                let is_held = held.contains(&batch);
+                tracing::info!(
+                    job = %job.id, run = %job.run(task), batch, highest_taken, is_held,
+                    "owner of an adrift run heard again"
+                );
+                if is_held {
                     job.tasks[task].state = HomeState::Placed { owner, batch };
                     let open = OpenBatch {
                         job: key,
@@ -634,7 +649,7 @@
                 let state = &job.tasks[*task];
                 state.state == HomeState::Waiting && state.known_run.is_some()
             });
-            tasks.any(|task| now + job.least_run(task) > job.deadline)
+            tasks.any(|task| job.is_hopeless(now, task))
         });
         let hopeless: Vec<HomeJobKey> = hopeless.map(|(key, _)| key).collect();
         for key in hopeless {
@@ -899,11 +914,27 @@
     ends.into_iter().max().unwrap_or_default()
 }
 
+fn log_accepted(now: Timestamp, job: &HomeJob) {
+    let step = job.spec.steps.first();
+    let declared = step.map(|step| step.declared_run).unwrap_or_default();
+    let expected = job.expected_runs.first().copied().unwrap_or_default();
+    tracing::info!(
+        job = %job.id, queue = %job.queue.name, steps = job.spec.steps.len(), tasks = job.tasks.len(),
+        cpu_millicores = step.map_or(0, |step| step.room.cpu_millicores),
+        declared_ms = whole_ms(declared), expected_ms = whole_ms(expected),
+        objective_ms = whole_ms(job.objective_at.since(now)),
+        limit_ms = whole_ms(job.deadline.since(now)),
+        queue_timeout_ms = job.queue.timeout.map(whole_ms),
+        "job accepted"
+    );
+}
+
 fn log_end(now: Timestamp, job: &HomeJob, outcome: &str) {
     let took_ms = whole_ms(now.since(job.accepted_at));
     let is_late = now > job.objective_at;
     tracing::info!(
         job = %job.id, queue = %job.queue.name, outcome, took_ms, is_late,
+        limit_ms = whole_ms(job.deadline.since(job.accepted_at)),
         tasks = job.tasks.len(), open_tasks = job.open_tasks, placements = job.placements,
         "job ended"
     );
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -17,6 +17,7 @@
 use super::run_message::StepDemand;
 use super::spread::OwnerRef;
 use super::upstream_choice::SeekingTask;
+use super::whole_ms::whole_ms;
 use crate::id::RequestId;
 use crate::time::Timestamp;
 
@@ -183,6 +184,20 @@
         }
     }
 
+    /// Whether a task started now could no longer end before the caller leaves, which is logged.
+    pub(crate) fn is_hopeless(&self, now: Timestamp, task: usize) -> bool {
+        let least_run = self.least_run(task);
+        let is_hopeless = now + least_run > self.deadline;
+        if is_hopeless {
+            tracing::info!(
+                job = %self.id, run = %self.run(task), least_run_ms = whole_ms(least_run),
+                left_ms = whole_ms(self.deadline.since(now)),
+                "task could no longer end in time"
+            );
+        }
+        is_hopeless
+    }
+
     /// The task as one that looks for an upstream.
     pub(crate) fn seeking(&self, now: Timestamp, task: usize) -> SeekingTask {
         let task = &self.tasks[task];
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -658,8 +658,13 @@
             return;
         }
         let id = upstream.listed.id.clone();
-        let (runs, ends) = (running.len(), ended.len());
-        tracing::info!(upstream = %id, runs, ends, "found runs of another owner");
+        let fence = upstream.fence;
+        for run in &running {
+            tracing::info!(job = %run.task.job, run = %run, upstream = %id, fence, "run of another owner found");
+        }
+        for FoundEnd { run, done, failed } in &ended {
+            tracing::info!(job = %run.task.job, run = %run, upstream = %id, fence, done, failed, "end of another owner's run found");
+        }
         if !running.is_empty() {
             let unclaimed = OwnerTimer::Unclaimed(on);
             self.timers.subscribe(now + CLAIM_TIME, unclaimed);
