lib: failing tests of names that come again on a simulated site

A random course on the simulated site with kills, cuts either way, held-up messages, upstreams that start again and orders that are lost or late, while callers submit a job once more 1.3 s after a lost answer.

The simulated site learns one-way and held-up paths between instances, broken paths to upstreams, and upstreams' clocks that are 2 % slow, as promised. A caller that comes again is a new attempt: that an earlier one ran does not contradict a refusal of this one.

--- /dev/null
+++ b/lib/tests/reused_names.rs
@@ -0,0 +1,75 @@
+//! Names that come again: runs of a job that its caller submits once more, and batches at an owner
+//! whose process has started again.
+
+use almondhead_lib::runs::run_answer::JobEnd;
+use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_testsupport::run_site::PathLoss;
+use almondhead_testsupport::run_site::RunSite;
+use almondhead_testsupport::run_site::SitePlan;
+use almondhead_testsupport::run_site::run_job;
+
+const JOB: &str = "00000000000000aa";
+
+/// Two data centres with one instance and two upstreams each.
+fn started() -> RunSite {
+    let mut site = RunSite::start(&SitePlan::new(2, 1, 2));
+    site.run_ms(1_000);
+    site
+}
+
+fn upstream_that_started(site: &RunSite) -> usize {
+    let mut upstreams = 0..site.upstreams();
+    let found = upstreams.find(|upstream| site.starts_at(*upstream) > 0);
+    found.expect("an upstream that started a task")
+}
+
+fn set_path(site: &mut RunSite, upstream: usize, loss: Option<PathLoss>) {
+    for node in 0..site.nodes() {
+        site.set_upstream_path(node, upstream, loss);
+    }
+}
+
+/// Guards against an end of an earlier attempt that is taken for one of the current attempt, whose
+/// task then starts over while it runs.
+#[test]
+fn end_of_an_earlier_attempt_starts_nothing_over() {
+    let mut site = started();
+    // Longer than a lease, so that the run of the first attempt lapses.
+    let job = run_job(1, 6_800, 1_300);
+    site.submit(0, "look", JOB, &job);
+    site.run_ms(50);
+    let upstream = upstream_that_started(&site);
+    set_path(&mut site, upstream, Some(PathLoss::Orders));
+    site.drop_caller(JOB);
+    site.run_ms(1_300);
+    site.submit(0, "look", JOB, &job);
+    site.run_ms(200);
+    // The owner reads there that the run of the first attempt has lapsed.
+    set_path(&mut site, upstream, None);
+    site.run_ms(1_500);
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+    let answer = site.answer(JOB).expect("an answer");
+    assert_eq!(answer.answer, RunAnswer::Ended(JobEnd::Completed));
+}
+
+/// Guards against a batch that counts as ended because a later life of its owner has taken others
+/// with higher numbers, while its runs go on.
+#[test]
+fn later_life_of_an_owner_ends_no_earlier_batch() {
+    let mut site = started();
+    // The home's own upstreams are busy first, and free when the other owner is back.
+    site.submit(0, "look", "00000000000000ab", &run_job(4, 6_800, 200));
+    site.run_ms(20);
+    site.submit(0, "look", JOB, &run_job(4, 6_800, 900));
+    site.run_ms(50);
+    let (home, owner) = (0, 1);
+    // One of the owner's upstreams is out of its reach when it is back, the other is claimed.
+    site.set_upstream_path(owner, 2, Some(PathLoss::Orders));
+    site.kill(owner);
+    site.run_ms(300);
+    site.start_node(owner);
+    site.run_ms(1_500);
+    assert!(site.starts_at(2) > 0 && site.starts_at(3) > 0);
+    assert!(site.usable_upstreams(home) > 0);
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
--- /dev/null
+++ b/lib/tests/run_faults.rs
@@ -0,0 +1,349 @@
+//! Random faults on a simulated site of leased runs, in series and overlapping, with callers that
+//! submit a job again when its answer is lost: no task may run twice at a time, and a job that was
+//! said not to have run may not have run.
+//!
+//! `RUN_FAULTS_SEEDS=100..2000` plays other seeds; `RUN_SITE_LOG=info` writes the dispatchers' logs.
+
+use std::env;
+use std::ops::Range;
+use std::time::Duration;
+
+use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_lib::time::Timestamp;
+use almondhead_testsupport::run_site::OrderFault;
+use almondhead_testsupport::run_site::PathLoss;
+use almondhead_testsupport::run_site::RunSite;
+use almondhead_testsupport::run_site::SitePlan;
+use almondhead_testsupport::run_site::UpstreamFault;
+use almondhead_testsupport::run_site::run_job;
+
+/// The seeds played in CI.
+const SEEDS: Range<u64> = 1..200;
+
+/// How long a course takes, in milliseconds.
+const COURSE_MS: u64 = 8_000;
+
+/// The time between two looks at callers and faults, in milliseconds.
+const STEP_MS: u64 = 5;
+
+/// How long a caller waits for its answer, in milliseconds.
+const CALLER_WAIT_MS: u64 = 1_500;
+
+/// How long after a lost answer a caller submits its job again, in milliseconds.
+const RESEND_MS: u64 = 1_300;
+
+/// How often a caller submits its job in all.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// A job and the caller who waits for it.
+struct Caller {
+    id: String,
+    tasks: u32,
+    work_ms: u64,
+    attempts: u32,
+    home: usize,
+    /// The life of the home's process that the last attempt went to.
+    home_life: u64,
+    asked_at_ms: u64,
+    resends_at_ms: Option<u64>,
+    is_over: bool,
+}
+
+/// A fault that ends again.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize),
+    Stop(usize),
+    Freeze(usize),
+    Cut(usize, usize),
+    CutOneWay(usize, usize),
+    Held(usize, usize),
+    DataCentreCut(usize),
+    StoreCut(usize),
+    StoreDown,
+    Dark(usize),
+    Reborn(usize),
+    Path(usize, usize, PathLoss),
+    Orders(OrderFault),
+}
+
+struct Course {
+    site: RunSite,
+    callers: Vec<Caller>,
+    faults: Vec<(u64, Fault)>,
+    lives: Vec<u64>,
+    down: Vec<bool>,
+    next_job: u64,
+}
+
+const DATA_CENTRES: u32 = 3;
+const INSTANCES: u32 = 2;
+
+impl Course {
+    fn start(seed: u64) -> Self {
+        let mut site = RunSite::start(&SitePlan {
+            seed,
+            ..SitePlan::new(DATA_CENTRES, INSTANCES, 4)
+        });
+        site.run_ms(1_000);
+        let nodes = site.nodes();
+        Course {
+            site,
+            callers: Vec::new(),
+            faults: Vec::new(),
+            lives: vec![1; nodes],
+            down: vec![false; nodes],
+            next_job: 1,
+        }
+    }
+
+    fn chance(&mut self, bound: usize) -> usize {
+        usize::try_from(self.site.chance(bound as u64)).unwrap_or_default()
+    }
+
+    fn play(&mut self) {
+        let until_ms = self.site.now_ms() + COURSE_MS;
+        while self.site.now_ms() < until_ms {
+            if self.chance(3) == 0 {
+                self.submit_new();
+            }
+            if self.chance(40) == 0 {
+                self.begin_fault();
+            }
+            self.end_faults(false);
+            self.look_at_callers();
+            self.site.run_ms(STEP_MS);
+        }
+        self.end_faults(true);
+        for _ in 0..(5_000 / STEP_MS) {
+            self.look_at_callers();
+            self.site.run_ms(STEP_MS);
+        }
+    }
+
+    fn submit_new(&mut self) {
+        let works_ms = [60, 200, 500, 900];
+        let work_ms = works_ms[self.chance(works_ms.len())];
+        let tasks = 1 + self.site.chance(4) as u32;
+        let caller = Caller {
+            id: format!("{:016x}", self.next_job),
+            tasks,
+            work_ms,
+            attempts: 0,
+            home: 0,
+            home_life: 0,
+            asked_at_ms: 0,
+            resends_at_ms: Some(self.site.now_ms()),
+            is_over: false,
+        };
+        self.next_job += 1;
+        self.callers.push(caller);
+    }
+
+    fn look_at_callers(&mut self) {
+        for index in 0..self.callers.len() {
+            if !self.callers[index].is_over {
+                self.look_at(index);
+            }
+        }
+    }
+
+    fn look_at(&mut self, index: usize) {
+        let now_ms = self.site.now_ms();
+        if let Some(at_ms) = self.callers[index].resends_at_ms {
+            if at_ms <= now_ms {
+                self.ask(index);
+            }
+            return;
+        }
+        let reset = self.chance(400) == 0;
+        let caller = &mut self.callers[index];
+        let is_home_dead = self.lives[caller.home] != caller.home_life || self.down[caller.home];
+        let waits_too_long = now_ms >= caller.asked_at_ms + CALLER_WAIT_MS;
+        let asked_at = Timestamp::ZERO + Duration::from_millis(caller.asked_at_ms);
+        let answer = self.site.answer(&caller.id);
+        match answer.filter(|answer| answer.asked_at >= asked_at) {
+            Some(answer) => match answer.answer {
+                RunAnswer::GivenUp(_) => caller.resends_at_ms = Some(now_ms + RESEND_MS),
+                _ => caller.is_over = true,
+            },
+            None if is_home_dead => caller.resends_at_ms = Some(now_ms + RESEND_MS),
+            None if reset || waits_too_long => {
+                let id = caller.id.clone();
+                caller.resends_at_ms = Some(now_ms + RESEND_MS);
+                self.site.drop_caller(&id);
+            }
+            None => {}
+        }
+    }
+
+    fn ask(&mut self, index: usize) {
+        if self.callers[index].attempts >= MAX_ATTEMPTS {
+            self.callers[index].is_over = true;
+            return;
+        }
+        let home = self.chance(self.down.len());
+        if self.down[home] {
+            return;
+        }
+        let caller = &mut self.callers[index];
+        caller.attempts += 1;
+        caller.home = home;
+        caller.home_life = self.lives[home];
+        caller.asked_at_ms = self.site.now_ms();
+        caller.resends_at_ms = None;
+        let job = run_job(caller.tasks, 6_800, caller.work_ms);
+        self.site.submit(home, "look", &caller.id, &job);
+    }
+
+    fn draw(&mut self) -> Fault {
+        let node = self.chance(self.down.len());
+        let other = (node + 1 + self.chance(self.down.len() - 1)) % self.down.len();
+        let upstream = self.chance(self.site.upstreams());
+        let losses = [PathLoss::Orders, PathLoss::Answers];
+        let loss = losses[self.chance(losses.len())];
+        let orders = [(10, 0), (0, 20), (10, 10), (50, 0)];
+        let (late_percent, unanswered_percent) = orders[self.chance(orders.len())];
+        let faults = [
+            Fault::Kill(node),
+            Fault::Stop(node),
+            Fault::Freeze(node),
+            Fault::Cut(node, other),
+            Fault::CutOneWay(node, other),
+            Fault::Held(node, other),
+            Fault::DataCentreCut(self.chance(DATA_CENTRES as usize)),
+            Fault::StoreCut(node),
+            Fault::StoreDown,
+            Fault::Dark(upstream),
+            Fault::Reborn(upstream),
+            Fault::Path(node, upstream, loss),
+            Fault::Orders(OrderFault {
+                late_percent,
+                unanswered_percent,
+            }),
+        ];
+        faults[self.chance(faults.len())]
+    }
+
+    fn begin_fault(&mut self) {
+        let fault = self.draw();
+        if let Fault::Kill(node) | Fault::Stop(node) | Fault::Freeze(node) = fault {
+            let is_busy = self.faults.iter().any(|(_, other)| match other {
+                Fault::Kill(at) | Fault::Stop(at) | Fault::Freeze(at) => *at == node,
+                _ => false,
+            });
+            if is_busy {
+                return;
+            }
+        }
+        let lasts_ms = [30, 80, 300, 900, 2_000][self.chance(5)];
+        self.faults.push((self.site.now_ms() + lasts_ms, fault));
+        self.set(fault, true);
+    }
+
+    fn end_faults(&mut self, all: bool) {
+        let now_ms = self.site.now_ms();
+        let is_due = |entry: &mut (u64, Fault)| all || entry.0 <= now_ms;
+        let due: Vec<(u64, Fault)> = self.faults.extract_if(.., is_due).collect();
+        for (_, fault) in due {
+            self.set(fault, false);
+        }
+    }
+
+    fn set(&mut self, fault: Fault, is_on: bool) {
+        match fault {
+            Fault::Kill(node) => self.set_down(node, is_on),
+            Fault::Stop(node) => match is_on {
+                true => self.site.stop_node(node),
+                // What is left after its grace dies with the process.
+                false => {
+                    self.set_down(node, true);
+                    self.set_down(node, false);
+                }
+            },
+            Fault::Freeze(node) => match is_on {
+                true => self.site.freeze(node),
+                false => self.site.thaw(node),
+            },
+            Fault::Cut(one, other) => self.site.cut(one, other, is_on),
+            Fault::CutOneWay(from, to) => self.site.cut_one_way(from, to, is_on),
+            Fault::Held(from, to) => self.site.hold_messages(from, to, is_on),
+            Fault::DataCentreCut(data_centre) => self.cut_data_centre(data_centre, is_on),
+            Fault::StoreCut(node) => self.site.cut_from_store(node, is_on),
+            Fault::StoreDown => self.site.set_store_down(is_on),
+            Fault::Dark(upstream) => match is_on {
+                true => self
+                    .site
+                    .set_upstream_fault(upstream, Some(UpstreamFault::Dark)),
+                false => self.site.restart_upstream(upstream),
+            },
+            Fault::Reborn(upstream) if is_on => self.site.restart_upstream(upstream),
+            Fault::Reborn(_) => {}
+            Fault::Path(node, upstream, loss) => {
+                let loss = is_on.then_some(loss);
+                self.site.set_upstream_path(node, upstream, loss);
+            }
+            Fault::Orders(orders) => {
+                let orders = match is_on {
+                    true => orders,
+                    false => OrderFault::default(),
+                };
+                self.site.set_order_fault(orders);
+            }
+        }
+    }
+
+    fn set_down(&mut self, node: usize, is_down: bool) {
+        self.down[node] = is_down;
+        match is_down {
+            true => self.site.kill(node),
+            false => {
+                self.lives[node] += 1;
+                self.site.start_node(node);
+            }
+        }
+    }
+
+    fn cut_data_centre(&mut self, data_centre: usize, is_cut: bool) {
+        let instances = INSTANCES as usize;
+        let inside = data_centre * instances..(data_centre + 1) * instances;
+        for node in inside.clone() {
+            for other in (0..self.down.len()).filter(|other| !inside.contains(other)) {
+                self.site.cut(node, other, is_cut);
+            }
+            self.site.cut_from_store(node, is_cut);
+        }
+        let of_each = self.site.upstreams() / DATA_CENTRES as usize;
+        let loss = is_cut.then_some(PathLoss::Orders);
+        for upstream in 0..self.site.upstreams() {
+            for node in 0..self.down.len() {
+                if inside.contains(&node) != (upstream / of_each == data_centre) {
+                    self.site.set_upstream_path(node, upstream, loss);
+                }
+            }
+        }
+    }
+}
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = env::var("RUN_FAULTS_SEEDS") else {
+        return SEEDS;
+    };
+    let ends = text.split_once("..");
+    let ends = ends.and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
+    ends.expect("seeds as in 100..2000")
+}
+
+#[test]
+fn no_task_runs_twice_at_a_time_under_random_faults() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let mut course = Course::start(seed);
+        course.play();
+        let violations = course.site.violations();
+        if !violations.is_empty() {
+            failed.push(format!("seed {seed}: {violations:?}"));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
--- a/lib/testsupport/src/run_site.rs
+++ b/lib/testsupport/src/run_site.rs
@@ -12,6 +12,7 @@
 pub use self::job::run_job;
 pub use self::job::run_queue;
 pub use self::site::OrderFault;
+pub use self::site::PathLoss;
 pub use self::site::RunSite;
 pub use self::site::SiteAnswer;
 pub use self::site::SitePlan;
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -96,6 +96,21 @@
     pub answer: RunAnswer,
 }
 
+/// What a broken path between an instance and an upstream loses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathLoss {
+    /// Orders do not arrive.
+    Orders,
+    /// Orders are carried out, and their answers do not arrive.
+    Answers,
+}
+
+/// A message that waits on its path.
+struct HeldMessage {
+    sender: PeerIdentity,
+    message: Box<TimedRunMessage>,
+}
+
 enum Happening {
     Event {
         node: usize,
@@ -133,6 +148,9 @@
     roster: IndexMap<Arc<str>, Member>,
     listed_to: Vec<IndexSet<Arc<str>>>,
     cut_pairs: IndexSet<(usize, usize)>,
+    /// What waits on paths between instances that hold messages up.
+    held_messages: IndexMap<(usize, usize), Vec<HeldMessage>>,
+    upstream_paths: IndexMap<(usize, usize), PathLoss>,
     is_store_down: bool,
     order_fault: OrderFault,
     random: u64,
@@ -180,6 +198,8 @@
             roster: IndexMap::new(),
             listed_to: Vec::new(),
             cut_pairs: IndexSet::new(),
+            held_messages: IndexMap::new(),
+            upstream_paths: IndexMap::new(),
             is_store_down: false,
             order_fault: OrderFault::default(),
             random: plan.seed.wrapping_mul(2).wrapping_add(1),
@@ -251,6 +271,8 @@
     ) {
         let job = Arc::new(job.clone());
         self.jobs.insert(id.to_owned(), (job.clone(), work));
+        // What an earlier attempt ran does not contradict what this one is told.
+        self.started_jobs.swap_remove(id);
         let request = RequestId(self.next_request);
         self.next_request += 1;
         self.asked
@@ -267,7 +289,7 @@
 
     /// Lets the caller of a job go away.
     pub fn drop_caller(&mut self, id: &str) {
-        let found = self.asked.iter().find(|(_, (asked, _))| asked == id);
+        let found = self.asked.iter().rfind(|(_, (asked, _))| asked == id);
         if let Some((node, request)) = found.map(|(key, _)| *key) {
             self.hand(node, RunEvent::RequestDropped { request });
         }
@@ -316,12 +338,39 @@
 
     /// Cuts two instances off from each other, or joins them again.
     pub fn cut(&mut self, one: usize, other: usize, is_cut: bool) {
-        for pair in [(one, other), (other, one)] {
-            match is_cut {
-                true => self.cut_pairs.insert(pair),
-                false => self.cut_pairs.swap_remove(&pair),
-            };
+        self.cut_one_way(one, other, is_cut);
+        self.cut_one_way(other, one, is_cut);
+    }
+
+    /// Loses the messages from one instance to another, or lets them through again.
+    pub fn cut_one_way(&mut self, from: usize, to: usize, is_cut: bool) {
+        match is_cut {
+            true => self.cut_pairs.insert((from, to)),
+            false => self.cut_pairs.swap_remove(&(from, to)),
+        };
+    }
+
+    /// Holds the messages from one instance to another up, or delivers what was held.
+    pub fn hold_messages(&mut self, from: usize, to: usize, is_held: bool) {
+        if is_held {
+            self.held_messages.entry((from, to)).or_default();
+            return;
         }
+        let life = self.nodes[to].life;
+        let held = self.held_messages.swap_remove(&(from, to));
+        for HeldMessage { sender, message } in held.unwrap_or_default() {
+            let event = RunEvent::PeerMessage { sender, message };
+            let node = to;
+            self.at(PEER_DELAY, Happening::Event { node, life, event });
+        }
+    }
+
+    /// Breaks the path between an instance and an upstream, or mends it.
+    pub fn set_upstream_path(&mut self, node: usize, upstream: usize, loss: Option<PathLoss>) {
+        match loss {
+            Some(loss) => self.upstream_paths.insert((node, upstream), loss),
+            None => self.upstream_paths.swap_remove(&(node, upstream)),
+        };
     }
 
     /// Cuts an instance off from the store, or joins it again.
@@ -634,6 +683,10 @@
             instance: self.nodes[from].name.clone(),
             incarnation: self.nodes[from].incarnation(),
         };
+        if let Some(held) = self.held_messages.get_mut(&(from, node)) {
+            held.push(HeldMessage { sender, message });
+            return;
+        }
         let event = RunEvent::PeerMessage { sender, message };
         let life = self.nodes[node].life;
         self.at(PEER_DELAY, Happening::Event { node, life, event });
@@ -655,6 +708,10 @@
             true => Duration::from_millis(2_000 + self.chance(8_000)),
             false => ORDER_DELAY,
         };
+        let path = self.upstream_paths.get(&(node, upstream));
+        if path == Some(&PathLoss::Orders) {
+            return;
+        }
         let is_answered = chance >= unanswered;
         let order = Happening::Order {
             node,
@@ -719,7 +776,7 @@
             }
         };
         let answer = done.unwrap_or_else(|refusal| OrderAnswer::Refused { refusal, clock_ms });
-        if is_answered {
+        if is_answered && !self.is_deaf(node, upstream) {
             self.answer_order(node, life, order, answer, ORDER_DELAY);
         }
         self.advance(upstream);
@@ -797,11 +854,19 @@
             .collect();
         let report = state.report(now);
         for hold in due.into_iter().filter(|hold| !hold.is_lost) {
+            if self.is_deaf(hold.node, upstream) {
+                continue;
+            }
             let answer = OrderAnswer::Held(report.clone());
             self.answer_order(hold.node, hold.life, hold.order, answer, ORDER_DELAY);
         }
     }
 
+    /// Whether an instance gets no answers of an upstream.
+    fn is_deaf(&self, node: usize, upstream: usize) -> bool {
+        self.upstream_paths.contains_key(&(node, upstream))
+    }
+
     fn beat(&mut self, node: usize) {
         let state = &mut self.nodes[node];
         let is_silent = state.dispatcher.is_none() || state.is_frozen || state.is_cut_from_store;
--- a/lib/testsupport/src/run_site/upstream.rs
+++ b/lib/testsupport/src/run_site/upstream.rs
@@ -73,8 +73,8 @@
     pub(super) fence: u64,
 }
 
-/// The longest lease that an upstream grants.
-const LONGEST_LEASE: Duration = Duration::from_millis(1_000);
+/// The longest lease that an upstream grants, on its own clock.
+const LONGEST_LEASE_MS: u64 = 1_000;
 
 impl SimUpstream {
     pub(super) fn new(listed: Arc<ListedUpstream>, speed: f64) -> Self {
@@ -93,15 +93,15 @@
         }
     }
 
-    /// Its own clock, which is off from the site's.
+    /// Its own clock, which is off from the site's and slower.
     pub(super) fn clock_ms(&self, now: Timestamp) -> u64 {
-        now.as_us() / 1_000 + CLOCK_OFFSET_MS
+        now.as_us() * CLOCK_SPEED_PERCENT / 100_000 + CLOCK_OFFSET_MS
     }
 
     fn extend_lease(&mut self, now: Timestamp, until_ms: u64) {
-        let until = Timestamp::from_us(until_ms.saturating_sub(CLOCK_OFFSET_MS) * 1_000);
-        let until = until.min(now + LONGEST_LEASE);
-        self.lease_until = self.lease_until.max(until);
+        let until_ms = until_ms.min(self.clock_ms(now) + LONGEST_LEASE_MS);
+        let until_us = until_ms.saturating_sub(CLOCK_OFFSET_MS) * 100_000 / CLOCK_SPEED_PERCENT;
+        self.lease_until = self.lease_until.max(Timestamp::from_us(until_us));
     }
 
     pub(super) fn check_fence(&mut self, fence: u64) -> Result<(), OrderRefusal> {
@@ -253,6 +253,9 @@
 /// How far upstreams' clocks are ahead of the site's.
 const CLOCK_OFFSET_MS: u64 = 480_000;
 
+/// How fast upstreams' clocks run, in hundredths of the site's: the slowest that they promise.
+const CLOCK_SPEED_PERCENT: u64 = 98;
+
 impl SimRun {
     fn percent(&self, now: Timestamp) -> u8 {
         if self.hangs {
