runs: take a later life of an owner for no word about batches of the one before

What callers saw: a task that ran twice at a time (TWICE) after the owner of its upstream was killed and started again within its lease.

Cause: a home numbers its batches for each owner, and a heartbeat says which the owner holds and which number it took last; a batch up to that number that is not held has ended. A task adrift remembers its owner and batch so that an owner that is heard again settles it. The owner was remembered by its place in the table of instances, which its next life keeps. As soon as that life had taken any batch, for instance one run claimed after the take-over, its highest number was above those of the life before, whose other runs were judged ended and started over while they went on.

Ruled out: the lists of upstreams (the runs were on them all along), the fence.

Fix: when an owner's process has ended, tasks adrift forget whom to ask, and wait for the next owner of their upstream or for the time at which their runs have surely ended.

--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -473,6 +473,19 @@
         self.batches.retain(|(at, _), _| *at != owner);
     }
 
+    /// Takes in that the process of an owner has ended.
+    ///
+    /// The next one counts the batches that it takes anew: what it says of them is no word about
+    /// those of the process before.
+    pub(crate) fn end_owner(&mut self, owner: OwnerRef) {
+        let tasks = self.jobs.values_mut().flat_map(|job| &mut job.tasks);
+        for task in tasks {
+            if let HomeState::Adrift { from, .. } = &mut task.state {
+                from.take_if(|(at, _)| *at == owner);
+            }
+        }
+    }
+
     /// Takes in runs that the next owner of an upstream found there.
     pub(crate) fn claim_found(
         &mut self,
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -299,7 +299,7 @@
                 .peers
                 .update(self.now, &self.roster, &self.settings.instance);
             for (peer, incarnation) in ended {
-                self.lose_peer(peer, incarnation, self.now);
+                self.end_peer(peer, incarnation);
             }
             self.neighbours = neighbours(&self.settings.instance, &self.roster);
             self.set_peers();
@@ -376,7 +376,7 @@
             self.lose_peer(peer, incarnation, heard_at);
         }
         for (peer, incarnation) in self.peers.drop_gone(now) {
-            self.lose_peer(peer, incarnation, now);
+            self.end_peer(peer, incarnation);
         }
         for home in self.owner.homes() {
             let is_known = home == self.settings.incarnation
@@ -390,6 +390,12 @@
         }
     }
 
+    /// Gives up what depends on a run of an instance's process that has ended.
+    fn end_peer(&mut self, peer: PeerKey, incarnation: Incarnation) {
+        self.lose_peer(peer, incarnation, self.now);
+        self.home.end_owner(OwnerRef::Peer(peer));
+    }
+
     fn lose_peer(&mut self, peer: PeerKey, incarnation: Incarnation, heard_at: Timestamp) {
         self.home
             .lose_owner(self.now, OwnerRef::Peer(peer), heard_at);
@@ -536,7 +542,7 @@
             .peers
             .note_message(self.now, sender, sent_at, echo, &mut replaced);
         if let Some((peer, incarnation)) = replaced {
-            self.lose_peer(peer, incarnation, self.now);
+            self.end_peer(peer, incarnation);
         }
         let Some((peer, freshness)) = noted else {
             return;
