runs: take only the word of a run's owner, or of the one it handed over to, for its end

What callers saw: a task that ran twice at a time (TWICE), in jobs that they had sent again after a lost answer.

Cause: both attempts of a job number their runs from one, at homes that need not know of each other. A run of the first attempt ends unheard where its upstream is out of reach: it lapses, or is stopped by an owner that does not live to take note of it. When the upstream is in reach again, its owner finds that end among the listed ones, does not know it, and tells every instance. The home of the second attempt found its own run of that name open at another owner, took it for ended, and started the task over while it ran.

Fix: a name tells no attempts apart, so an end counts only by whose word it is. Ends of a batch are taken from the owner that has this batch. What another owner finds counts for a task that its own owner has handed over, on the upstream that it names now, or one whose owner is out of reach; for the latter a run that goes on is claimed, and an end other than done proves nothing until no owner out of reach can hold a lease any more. What is found before the owner's word is remembered for 400 ms, and owners yield an upstream as soon as they hear of a successor rather than at their next order. A task that is done is done, whichever attempt ran it.

With it: a report that a run was handed over may get lost, after which a heartbeat said that the owner does not hold the batch and the run counted as ended. Such batches count as held until the run has surely ended, 1.4 s for the successor's wait of 250 ms and a lease. And the time after which a run of an owner out of reach has surely ended now counts the heartbeats by which either side may notice later than the other, 1.93 s in place of 1.8.

The simulated site counts a job as falsely refused only where every attempt was refused, as the users' rule says, and also when the start comes after the refusal.

--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -67,10 +67,12 @@
         RunMessage::Cancel { batches } => Kind::Cancel(proto::CancelRuns { batches }),
         RunMessage::Found {
             upstream,
+            fence,
             running,
             ended,
         } => Kind::Found(proto::FoundRuns {
             upstream: upstream.to_string(),
+            fence,
             running: running.into_iter().map(Into::into).collect(),
             ended: ended.into_iter().map(Into::into).collect(),
         }),
@@ -110,6 +112,7 @@
         },
         Kind::Found(found) => RunMessage::Found {
             upstream: name("found.upstream", found.upstream)?,
+            fence: found.fence,
             running: decode_list("found.running", found.running, MAX_TASKS)?,
             ended: decode_list("found.ended", found.ended, MAX_TASKS)?,
         },
@@ -305,7 +308,9 @@
                 End::NotStarted(proto::NotStartedReason::from(reason) as i32)
             }
             RunEnd::Lost { upstream } => End::LostOn(upstream.to_string()),
-            RunEnd::TakenOver => End::TakenOver(proto::TakenOver {}),
+            RunEnd::TakenOver { upstream } => End::TakenOver(proto::TakenOver {
+                upstream: upstream.to_string(),
+            }),
             RunEnd::TooSlow { work, upstream } => End::TooSlow(proto::TooSlow {
                 work_us: to_us(work),
                 upstream: upstream.to_string(),
@@ -333,7 +338,9 @@
             End::LostOn(upstream) => RunEnd::Lost {
                 upstream: name("ends.lost_on", upstream)?,
             },
-            End::TakenOver(proto::TakenOver {}) => RunEnd::TakenOver,
+            End::TakenOver(taken_over) => RunEnd::TakenOver {
+                upstream: name("ends.taken_over.upstream", taken_over.upstream)?,
+            },
             End::TooSlow(too_slow) => RunEnd::TooSlow {
                 work: Duration::from_micros(too_slow.work_us),
                 upstream: name("ends.too_slow.upstream", too_slow.upstream)?,
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -629,8 +629,12 @@
     }
 }
 /// Another instance has taken over the upstream.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct TakenOver {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TakenOver {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+}
 /// The run would have ended far too late.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TooSlow {
@@ -660,6 +664,9 @@
     /// Those that have ended.
     #[prost(message, repeated, tag = "3")]
     pub ended: ::prost::alloc::vec::Vec<FoundEnd>,
+    /// The ownership under which the sender holds the upstream.
+    #[prost(uint64, tag = "4")]
+    pub fence: u64,
 }
 /// A run that had ended when its upstream was taken over.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -7,10 +7,12 @@
 mod admitting;
 mod assignment;
 pub mod event;
+mod found_run;
 mod held_batch;
 mod held_queue;
 mod home;
 mod home_job;
+mod home_task;
 pub mod intended_state;
 pub mod job_spec;
 mod learned_speed;
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -6,10 +6,12 @@
 use indexmap::IndexMap;
 use slotmap::SlotMap;
 
+use super::found_run::FoundRun;
 use super::home_job::HomeJob;
-use super::home_job::HomeState;
-use super::home_job::HomeTask;
 use super::home_job::Unfinished;
+use super::home_task::HomeState;
+use super::home_task::HomeTask;
+use super::home_task::SURELY_ENDED;
 use super::intended_state::JobQueueSettings;
 use super::job_spec::JobSpec;
 use super::run_answer::GivenUp;
@@ -52,12 +54,6 @@
 /// owner can have ordered.
 pub(crate) const CLAIMABLE_TIME: Duration = Duration::from_secs(1);
 
-/// How long after its owner was last heard a run has surely ended.
-///
-/// An owner that lost its home stops the run or, cut off from the upstream too, renews its lease
-/// for the last time after 600 ms; the lease lasts a second on a clock that may be slow.
-pub(crate) const SURELY_ENDED: Duration = Duration::from_millis(1_800);
-
 /// The most placements of one task on average, against endless refusals.
 const MAX_PLACEMENTS_PER_TASK: u32 = 16;
 
@@ -127,6 +123,8 @@
     owner_names: IndexMap<OwnerRef, Arc<str>>,
     next_batch: u64,
     estimates: IndexMap<Arc<str>, RunEstimate>,
+    /// What other owners found of runs whose owners have not given them up.
+    found: IndexMap<RunId, FoundRun>,
     pub(crate) timers: TimerService<HomeTimer>,
     pub(crate) outputs: Vec<HomeOutput>,
     is_dirty: bool,
@@ -196,18 +194,9 @@
         let chain = longest_chain(&spec, &expected_runs);
         let objective = chain * queue.stretch_percent.max(100) / 100 + queue.target_duration;
         let deadline = now + wait.saturating_sub(ANSWER_TIME);
-        let tasks = (0..).zip(&spec.steps).flat_map(|(step, of)| {
-            (0..of.tasks).map(move |index| HomeTask {
-                step,
-                index,
-                run: 1,
-                failures: 0,
-                known_run: None,
-                suspected_run: None,
-                avoid: Vec::new(),
-                state: HomeState::Blocked,
-            })
-        });
+        let tasks = (0..)
+            .zip(&spec.steps)
+            .flat_map(|(step, of)| (0..of.tasks).map(move |index| HomeTask::new(step, index)));
         let tasks: Vec<HomeTask> = tasks.collect();
         let mut job = HomeJob {
             id,
@@ -259,7 +248,16 @@
     }
 
     /// Takes in how tasks ended at an owner.
-    pub(crate) fn take_ends(&mut self, now: Timestamp, owner: OwnerRef, ends: Vec<TaskEnd>) {
+    ///
+    /// Only the batch tells attempts apart: a job that its caller submits once more numbers its runs
+    /// from one again.
+    pub(crate) fn take_ends(
+        &mut self,
+        now: Timestamp,
+        owner: OwnerRef,
+        batch: u64,
+        ends: Vec<TaskEnd>,
+    ) {
         for TaskEnd { run, end } in ends {
             let Some(key) = self.by_id.get(&run.task.job).copied() else {
                 continue;
@@ -267,12 +265,13 @@
             let Some(task) = self.jobs[key].task_of(run) else {
                 continue;
             };
-            let is_there = match self.jobs[key].tasks[task].state {
-                HomeState::Placed { owner: at, .. } => at == owner,
-                HomeState::Adrift { .. } => !matches!(end, RunEnd::TakenOver),
-                _ => false,
-            };
-            if is_there {
+            let state = &mut self.jobs[key].tasks[task];
+            let placed = HomeState::Placed { owner, batch };
+            let is_adrift = matches!(state.state, HomeState::Adrift { from, .. } if from == Some((owner, batch)));
+            if is_adrift {
+                state.regain_owner(owner);
+            }
+            if is_adrift || state.state == placed {
                 self.end_task(now, key, task, end);
             }
         }
@@ -281,6 +280,13 @@
     fn end_task(&mut self, now: Timestamp, key: HomeJobKey, task: usize, end: RunEnd) {
         let job = &mut self.jobs[key];
         let run = job.run(task);
+        let unheard_since = job.tasks[task].may_run_unheard_since(now);
+        if let Some(since) = unheard_since.filter(|_| !matches!(end, RunEnd::Done { .. })) {
+            // What ended may be a run of an earlier attempt.
+            tracing::warn!(job = %job.id, run = %run, ?end, "end is no proof while an owner is out of reach");
+            self.set_adrift(now, key, task, since, None);
+            return self.close_empty_batches(key);
+        }
         match &end {
             RunEnd::Done { .. } => tracing::debug!(job = %job.id, run = %run, "task done"),
             other => tracing::warn!(job = %job.id, run = %run, end = ?other, "task not done"),
@@ -296,7 +302,7 @@
                 job.tasks[task].avoid.push(upstream);
                 self.start_over(now, key, task);
             }
-            RunEnd::TakenOver => self.set_adrift(now, key, task, now, None),
+            RunEnd::TakenOver { upstream } => self.take_handed_over(now, key, task, upstream),
             RunEnd::TooSlow { work, upstream } => {
                 job.note_slow(task, work, upstream);
                 self.start_over(now, key, task);
@@ -393,10 +399,7 @@
 
     /// Lets a task that runs no more start once more, while there is time.
     fn start_over(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
-        let job = &mut self.jobs[key];
-        let state = &mut job.tasks[task];
-        state.run += 1;
-        state.state = HomeState::Waiting;
+        self.jobs[key].tasks[task].start_over();
         self.is_dirty = true;
         let job = &self.jobs[key];
         if job.is_hopeless(now, task) {
@@ -467,6 +470,7 @@
             tracing::warn!(job = %job.id, owner = self.owner_name(owner), tasks = tasks.len(), "owner out of reach");
             self.jobs[key].may_have_run = true;
             for (task, batch) in tasks {
+                self.jobs[key].tasks[task].lose_owner(owner, last_heard);
                 self.set_adrift(now, key, task, last_heard, Some((owner, batch)));
             }
         }
@@ -487,6 +491,9 @@
     }
 
     /// Takes in runs that the next owner of an upstream found there.
+    ///
+    /// They may be of an earlier attempt, which numbered its runs as this one does. Those of tasks
+    /// whose owner is in reach wait for its word.
     pub(crate) fn claim_found(
         &mut self,
         now: Timestamp,
@@ -495,35 +502,67 @@
         running: &[RunId],
         ended: &[FoundEnd],
     ) {
-        for found in ended {
-            let end = match found {
-                FoundEnd { done: true, .. } => RunEnd::Done {
-                    work: Duration::ZERO,
-                },
-                FoundEnd { failed: true, .. } => RunEnd::Failed {
-                    upstream: upstream.clone(),
-                },
-                _ => RunEnd::Lost {
-                    upstream: upstream.clone(),
-                },
+        self.found.retain(|_, found| found.is_recent(now));
+        let ended = ended
+            .iter()
+            .map(|found| (found.run, Some(found.end_on(upstream))));
+        let running = running.iter().map(|run| (*run, None));
+        for (run, end) in ended.chain(running) {
+            let found = FoundRun {
+                owner,
+                upstream: upstream.clone(),
+                found_at: now,
+                end,
             };
-            if let Some((key, task)) = self.claimable(found.run) {
-                tracing::info!(
-                    job = %found.run.task.job, run = %found.run, upstream = %upstream,
-                    owner = self.owner_name(owner), state = ?self.jobs[key].tasks[task].state,
-                    "end found by another owner"
-                );
-                self.end_task(now, key, task, end);
-            }
+            self.take_found(now, run, found);
         }
-        for run in running {
-            let Some((key, task)) = self.claimable(*run) else {
-                continue;
-            };
-            let state = self.jobs[key].tasks[task].state;
-            if !matches!(state, HomeState::Placed { owner: at, .. } if at == owner) {
-                self.move_task(now, key, task, owner, upstream);
+    }
+
+    fn take_found(&mut self, now: Timestamp, run: RunId, found: FoundRun) {
+        let Some((key, task)) = self.claimable(run) else {
+            return;
+        };
+        let state = &self.jobs[key].tasks[task];
+        let is_surely_there = state.is_surely_on(now, &found.upstream);
+        let may_be_there = state.handed_over_on.is_none() || is_surely_there;
+        let is_placed_at = match state.state {
+            HomeState::Placed { owner, .. } => Some(owner),
+            _ => None,
+        };
+        tracing::info!(
+            job = %run.task.job, run = %run, upstream = %found.upstream, end = ?found.end,
+            owner = self.owner_name(found.owner), state = ?state.state, is_surely_there,
+            "run found by another owner"
+        );
+        match found.end {
+            // A task that is done is done, whichever attempt ran it.
+            Some(end @ RunEnd::Done { .. }) => self.end_task(now, key, task, end),
+            Some(end) if is_surely_there => self.end_task(now, key, task, end),
+            None if is_placed_at.is_none() && may_be_there => {
+                self.move_task(now, key, task, found.owner, &found.upstream);
             }
+            _ if is_placed_at.is_some_and(|owner| owner != found.owner) => {
+                self.found.insert(run, found);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in that the owner of a run has lost its upstream to another one.
+    fn take_handed_over(
+        &mut self,
+        now: Timestamp,
+        key: HomeJobKey,
+        task: usize,
+        upstream: Arc<str>,
+    ) {
+        let run = self.jobs[key].run(task);
+        self.set_adrift(now, key, task, now, None);
+        let found = self.found.swap_remove(&run);
+        let found = found.filter(|found| found.is_recent(now) && found.upstream == upstream);
+        self.jobs[key].tasks[task].handed_over_on = Some(upstream);
+        if let Some(found) = found {
+            self.take_found(now, run, found);
         }
     }
 
@@ -626,6 +665,7 @@
                     "owner of an adrift run heard again"
                 );
                 if is_held {
+                    job.tasks[task].regain_owner(owner);
                     job.tasks[task].state = HomeState::Placed { owner, batch };
                     let open = OpenBatch {
                         job: key,
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -5,6 +5,8 @@
 
 use super::held_batch::LEAST_KNOWN_RUN;
 use super::held_batch::LEAST_RUN;
+use super::home_task::HomeState;
+use super::home_task::HomeTask;
 use super::intended_state::JobQueueSettings;
 use super::job_spec::JobSpec;
 use super::run_answer::GivenUp;
@@ -15,7 +17,6 @@
 use super::run_message::PlacedTask;
 use super::run_message::RunBatch;
 use super::run_message::StepDemand;
-use super::spread::OwnerRef;
 use super::upstream_choice::SeekingTask;
 use super::whole_ms::whole_ms;
 use crate::id::RequestId;
@@ -48,49 +49,6 @@
     pub(crate) no_owner_since: Option<Timestamp>,
 }
 
-/// One task.
-#[derive(Debug)]
-pub(crate) struct HomeTask {
-    pub(crate) step: u32,
-    pub(crate) index: u32,
-    pub(crate) run: u32,
-    pub(crate) failures: u32,
-    /// Its run time on an upstream of usual speed, where its progress has shown it.
-    pub(crate) known_run: Option<Duration>,
-    /// What its progress on one upstream predicted, which may have been that upstream's fault.
-    pub(crate) suspected_run: Option<Duration>,
-    pub(crate) avoid: Vec<Arc<str>>,
-    pub(crate) state: HomeState,
-}
-
-/// Where a task is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum HomeState {
-    /// Earlier steps are not done.
-    Blocked,
-    /// It waits for an owner.
-    Waiting,
-    /// An owner has it.
-    Placed {
-        /// The owner.
-        owner: OwnerRef,
-        /// The batch.
-        batch: u64,
-    },
-    /// It may still run, and nobody who says so is in reach.
-    Adrift {
-        /// Since when.
-        since: Timestamp,
-        /// The owner out of reach and its batch; none when another owner has the upstream.
-        from: Option<(OwnerRef, u64)>,
-    },
-    /// Its owner had no room until its objective had passed; what is known of the job's other
-    /// tasks decides about it.
-    Overdue,
-    /// It is done.
-    Done,
-}
-
 /// How a job ends that does not complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unfinished {
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -86,6 +86,7 @@
     /// Runs were found on an upstream that was taken over.
     Found {
         upstream: Arc<str>,
+        fence: u64,
         running: Vec<RunId>,
         ended: Vec<FoundEnd>,
     },
@@ -99,6 +100,13 @@
     pub(crate) kind: PendingKind,
 }
 
+/// A start under way to an upstream that has a newer owner.
+#[derive(Debug)]
+pub(crate) struct OrphanStart {
+    pub(crate) task: (HeldBatchKey, TaskIndex),
+    pub(crate) upstream: Arc<str>,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum PendingKind {
     Start(RunId),
@@ -118,11 +126,11 @@
     by_number: IndexMap<(Incarnation, u64), HeldBatchKey>,
     highest_taken: IndexMap<Incarnation, u64>,
     queue: Vec<(HeldBatchKey, TaskIndex)>,
-    /// Dropped batches whose runs a newer owner has to end, and when they surely have ended.
+    /// Batches whose runs a newer owner has to claim or to end, and when they surely have ended.
     pub(crate) lingering: IndexMap<(Incarnation, u64), Timestamp>,
     pub(crate) orders: IndexMap<OrderId, PendingOrder>,
     /// Starts under way to upstreams that have a newer owner.
-    pub(crate) orphan_starts: IndexMap<OrderId, (HeldBatchKey, TaskIndex)>,
+    pub(crate) orphan_starts: IndexMap<OrderId, OrphanStart>,
     next_order: u64,
     /// Upstreams that were lost to a newer owner, with the version of the roster then in force.
     pub(crate) lost: IndexMap<Arc<str>, u64>,
@@ -323,7 +331,8 @@
     fn end_of_missing(&self, run: RunId, id: &str) -> RunEnd {
         let upstream = self.by_id.get(id).map(|on| &self.upstreams[*on]);
         let Some(upstream) = upstream.filter(|on| on.contact == Contact::InTouch) else {
-            return RunEnd::TakenOver;
+            let upstream = Arc::from(id);
+            return RunEnd::TakenOver { upstream };
         };
         let upstream_id = upstream.listed.id.clone();
         match upstream.found_ends.get(&run) {
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -1,18 +1,22 @@
 //! What an owner makes of the answers to its orders, and of answers that stay out.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+use super::held_batch::TaskIndex;
 use super::leased_run::LeasedRun;
 use super::leased_run::RunPhase;
 use super::leased_run::StopReason;
 use super::leased_upstream::Contact;
 use super::leased_upstream::Stray;
+use super::owner::OrphanStart;
 use super::owner::Owner;
 use super::owner::OwnerNotice;
 use super::owner::OwnerTimer;
 use super::owner::PendingKind;
+use super::run_id::HeldBatchKey;
 use super::run_id::LeasedUpstreamKey;
 use super::run_id::OrderId;
 use super::run_id::RunId;
@@ -51,8 +55,9 @@
 /// How long after a stop without an answer it is ordered again.
 const STOP_RETRY: Duration = Duration::from_millis(40);
 
-/// How long a dropped run may last under a newer owner: that owner stops what no home claims.
-const LINGERING: Duration = Duration::from_millis(600);
+/// How long a run may last under a newer owner: it stops what no home claims, and where its order
+/// does not arrive a lease of a second runs out.
+const LINGERING: Duration = Duration::from_millis(1_400);
 
 /// The expected run time from which a run is looked at early: a wrong upstream costs most there.
 const LONG_RUN: Duration = Duration::from_millis(400);
@@ -83,7 +88,7 @@
         };
         let on = pending.upstream;
         if !self.upstreams.contains_key(on) {
-            return self.orphan_answered(order, &answer);
+            return self.orphan_answered(now, order, &answer);
         }
         self.read_clock(now, on, &answer);
         match pending.kind {
@@ -108,16 +113,27 @@
     }
 
     /// Takes in what came of a start that was under way when its upstream got a newer owner.
-    fn orphan_answered(&mut self, order: OrderId, answer: &OrderAnswer) {
-        let Some((key, task)) = self.orphan_starts.swap_remove(&order) else {
+    fn orphan_answered(&mut self, now: Timestamp, order: OrderId, answer: &OrderAnswer) {
+        let Some(OrphanStart { task, upstream }) = self.orphan_starts.swap_remove(&order) else {
             return;
         };
         match answer {
-            OrderAnswer::Refused { .. } | OrderAnswer::NotSent => {
-                self.requeue(Some((key, task)), None);
-            }
-            _ => self.report(key, task, RunEnd::TakenOver),
+            OrderAnswer::Refused { .. } | OrderAnswer::NotSent => self.requeue(Some(task), None),
+            _ => self.hand_over(now, task, &upstream),
+        }
+    }
+
+    /// Reports that a run may go on under a newer owner.
+    ///
+    /// The report may get lost, so that its batch counts as held until the run has surely ended.
+    fn hand_over(&mut self, now: Timestamp, task: (HeldBatchKey, TaskIndex), upstream: &Arc<str>) {
+        let (key, index) = task;
+        if let Some(batch) = self.batches.get(key) {
+            let name = (batch.home, batch.number);
+            self.lingering.insert(name, now + LINGERING);
         }
+        let upstream = upstream.clone();
+        self.report(key, index, RunEnd::TakenOver { upstream });
     }
 
     fn read_clock(&mut self, now: Timestamp, on: LeasedUpstreamKey, answer: &OrderAnswer) {
@@ -215,7 +231,7 @@
         }
     }
 
-    fn end_task(&mut self, task: Option<(super::run_id::HeldBatchKey, usize)>, why: NotStarted) {
+    fn end_task(&mut self, task: Option<(HeldBatchKey, TaskIndex)>, why: NotStarted) {
         self.mark_dirty();
         if let Some((key, task)) = task {
             self.report(key, task, RunEnd::NotStarted(why));
@@ -671,6 +687,7 @@
         }
         self.notices.push(OwnerNotice::Found {
             upstream: id,
+            fence,
             running,
             ended,
         });
@@ -737,6 +754,16 @@
         self.fall_silent(now, on);
     }
 
+    /// Takes in that another instance holds an upstream under this fence.
+    pub(crate) fn yield_upstream(&mut self, now: Timestamp, id: &str, fence: u64) {
+        let Some(on) = self.by_id.get(id).copied() else {
+            return;
+        };
+        if self.upstreams[on].fence < fence {
+            self.lose_to_newer_owner(now, on);
+        }
+    }
+
     /// Gives an upstream up to the instance that holds it under a higher fence.
     fn lose_to_newer_owner(&mut self, now: Timestamp, on: LeasedUpstreamKey) {
         let Some(upstream) = self.remove(on) else {
@@ -759,15 +786,17 @@
             if let Some(batch) = leased.dropped_from {
                 self.lingering.insert(batch, now + LINGERING);
             }
-            let Some((key, task)) = leased.task else {
+            let Some(task) = leased.task else {
                 continue;
             };
+            let upstream = upstream.listed.id.clone();
             match starts.get(&run) {
                 // Its answer tells whether it started.
                 Some(order) if leased.phase == RunPhase::Starting => {
-                    self.orphan_starts.insert(*order, (key, task));
+                    let orphan = OrphanStart { task, upstream };
+                    self.orphan_starts.insert(*order, orphan);
                 }
-                _ => self.report(key, task, RunEnd::TakenOver),
+                _ => self.hand_over(now, task, &upstream),
             }
         }
     }
--- a/lib/src/runs/placing.rs
+++ b/lib/src/runs/placing.rs
@@ -8,7 +8,7 @@
 use super::home::Home;
 use super::home::HomeOutput;
 use super::home_job::HomeJob;
-use super::home_job::HomeState;
+use super::home_task::HomeState;
 use super::peer_table::PeerTable;
 use super::roster::Roster;
 use super::run_dispatcher::RunDispatcher;
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -476,7 +476,7 @@
         match notice {
             OwnerNotice::Ends { home, batch, ends } => {
                 if home == self.settings.incarnation {
-                    return self.home.take_ends(self.now, OwnerRef::Own, ends);
+                    return self.home.take_ends(self.now, OwnerRef::Own, batch, ends);
                 }
                 if let Some(peer) = self.peers.by_incarnation(home) {
                     let digest = self.digest();
@@ -490,6 +490,7 @@
             }
             OwnerNotice::Found {
                 upstream,
+                fence,
                 running,
                 ended,
             } => {
@@ -498,6 +499,7 @@
                 self.home.claim_found(now, own, &upstream, &running, &ended);
                 let found = RunMessage::Found {
                     upstream,
+                    fence,
                     running,
                     ended,
                 };
@@ -557,16 +559,19 @@
             }
             RunMessage::Ends(ends) => {
                 self.take_digest(peer, ends.digest);
-                self.home.take_ends(now, owner, ends.ends);
+                self.home.take_ends(now, owner, ends.batch, ends.ends);
             }
             RunMessage::Cancel { batches } => self.owner.cancel(now, home, &batches),
             RunMessage::Found {
                 upstream,
+                fence,
                 running,
                 ended,
-            } => self
-                .home
-                .claim_found(now, owner, &upstream, &running, &ended),
+            } => {
+                self.owner.yield_upstream(now, &upstream, fence);
+                self.home
+                    .claim_found(now, owner, &upstream, &running, &ended);
+            }
             RunMessage::Report(report) if is_fresh => self.take_report(peer, home, report),
             RunMessage::Report(_) => {}
             RunMessage::CancelJob { job } => {
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -56,6 +56,8 @@
     Found {
         /// The upstream.
         upstream: Arc<str>,
+        /// The ownership under which the sender holds it.
+        fence: u64,
         /// The runs that still run.
         running: Vec<RunId>,
         /// The runs that have ended.
@@ -185,8 +187,11 @@
         /// The upstream.
         upstream: Arc<str>,
     },
-    /// It may still run; another instance has taken over its upstream.
-    TakenOver,
+    /// It may still run on this upstream, which another instance has taken over.
+    TakenOver {
+        /// The upstream.
+        upstream: Arc<str>,
+    },
     /// It was stopped: by its progress it would have ended after its caller has left, or far
     /// later than expected.
     TooSlow {
@@ -238,6 +243,20 @@
     pub failed: bool,
 }
 
+impl FoundEnd {
+    /// How the run ended on this upstream, as its home has to know it.
+    pub(crate) fn end_on(&self, upstream: &Arc<str>) -> RunEnd {
+        let upstream = upstream.clone();
+        match self {
+            FoundEnd { done: true, .. } => RunEnd::Done {
+                work: Duration::ZERO,
+            },
+            FoundEnd { failed: true, .. } => RunEnd::Failed { upstream },
+            _ => RunEnd::Lost { upstream },
+        }
+    }
+}
+
 /// A heartbeat.
 #[value]
 pub struct PeerReport {
--- a/lib/tests/message_names.rs
+++ b/lib/tests/message_names.rs
@@ -31,6 +31,7 @@
         failed: false,
     };
     let found = RunMessage::Found {
+        fence: 7,
         upstream: Arc::from("i-1"),
         running: vec![run],
         ended: vec![end; 300],
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -160,6 +160,10 @@
     answers: IndexMap<String, SiteAnswer>,
     waiting_orders: IndexSet<(usize, u64, OrderId)>,
     started_jobs: IndexSet<String>,
+    /// How often callers have submitted each job.
+    attempts: IndexMap<String, u32>,
+    /// How often they were told that it has not run.
+    refused: IndexMap<String, u32>,
     violations: Vec<String>,
     orders: u64,
     messages: u64,
@@ -209,6 +213,8 @@
             answers: IndexMap::new(),
             waiting_orders: IndexSet::new(),
             started_jobs: IndexSet::new(),
+            attempts: IndexMap::new(),
+            refused: IndexMap::new(),
             violations: Vec::new(),
             orders: 0,
             messages: 0,
@@ -271,8 +277,7 @@
     ) {
         let job = Arc::new(job.clone());
         self.jobs.insert(id.to_owned(), (job.clone(), work));
-        // What an earlier attempt ran does not contradict what this one is told.
-        self.started_jobs.swap_remove(id);
+        *self.attempts.entry(id.to_owned()).or_default() += 1;
         let request = RequestId(self.next_request);
         self.next_request += 1;
         self.asked
@@ -644,10 +649,14 @@
         let Some((id, asked_at)) = self.asked.get(&(node, request)).cloned() else {
             return;
         };
-        let is_not_run = matches!(answer, RunAnswer::NotRun { .. });
-        if is_not_run && self.started_jobs.contains(&id) {
-            let violation = format!("{id} was said not to have run");
-            self.violations.push(violation);
+        let latest = self.asked.iter().rfind(|(_, (asked, _))| *asked == id);
+        if latest.is_some_and(|(key, _)| *key != (node, request)) {
+            // Nobody waits for the answer of an earlier attempt.
+            return;
+        }
+        if matches!(answer, RunAnswer::NotRun { .. }) {
+            *self.refused.entry(id.clone()).or_default() += 1;
+            self.check_refused(&id);
         }
         let answer = SiteAnswer {
             asked_at,
@@ -657,6 +666,17 @@
         self.answers.insert(id, answer);
     }
 
+    /// Notes a job of which something ran although every attempt was told that it has not.
+    ///
+    /// An attempt whose answer got lost was not told so.
+    fn check_refused(&mut self, id: &str) {
+        let all_refused = self.refused.get(id) == self.attempts.get(id);
+        if all_refused && self.started_jobs.contains(id) {
+            let violation = format!("{id} was said not to have run");
+            self.violations.push(violation);
+        }
+    }
+
     fn send(&mut self, from: usize, to: &str, message: Box<TimedRunMessage>) {
         self.messages += 1;
         let Some(node) = self.nodes.iter().position(|node| &*node.name == to) else {
@@ -803,7 +823,9 @@
         };
         let was_there = self.upstreams[upstream].runs.contains_key(&run);
         self.upstreams[upstream].start(self.now, &asked)?;
-        self.started_jobs.insert(run.task.job.to_string());
+        let job = run.task.job.to_string();
+        self.started_jobs.insert(job.clone());
+        self.check_refused(&job);
         for other in 0..self.upstreams.len() {
             self.advance(other);
         }
