runs: name the process that a message between instances is for

What callers saw: a task that ran twice at a time (TWICE) after a home was killed and started again within half a second, or after messages to it had been held up meanwhile.

Cause: batches and clocks belong to one run of a process, and a message did not say to which run of its receiver it spoke. A home that had just started read its owner's heartbeat about the batches of the run before, took 44 as the highest number that the owner had taken of its own, and judged its batch 1, not held, ended. And a batch that was 2 s under way passed for fresh, since the clock of the new run of the receiver was below what the sender believed it to show.

Fix: every message names the incarnation that it is for, as forwarded requests do already; another one learns only that the sender lives.

--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::id::Incarnation;
 use crate::peer_codec::field::DecodeError;
 use crate::peer_codec::field::MAX_BATCHES_PER_CANCEL;
 use crate::peer_codec::field::MAX_TASKS;
@@ -33,6 +34,7 @@
 impl From<TimedRunMessage> for proto::TimedRunMessage {
     fn from(timed: TimedRunMessage) -> Self {
         proto::TimedRunMessage {
+            receiver: timed.receiver.0,
             sent_at_us: timed.sent_at.as_us(),
             echo_us: timed.echo.map(Timestamp::as_us),
             kind: Some(encode_kind(timed.message)),
@@ -45,6 +47,7 @@
 
     fn try_from(timed: proto::TimedRunMessage) -> Result<Self, DecodeError> {
         Ok(TimedRunMessage {
+            receiver: Incarnation(timed.receiver),
             sent_at: Timestamp::from_us(timed.sent_at_us),
             echo: timed.echo_us.map(Timestamp::from_us),
             message: decode_kind(required("run.kind", timed.kind)?)?,
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -422,6 +422,9 @@
     /// The receiver's clock as far as the sender can tell.
     #[prost(uint64, optional, tag = "2")]
     pub echo_us: ::core::option::Option<u64>,
+    /// The incarnation that must take it.
+    #[prost(fixed64, tag = "12")]
+    pub receiver: u64,
     /// The kinds of message.
     #[prost(oneof = "timed_run_message::Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: ::core::option::Option<timed_run_message::Kind>,
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -526,6 +526,7 @@
         self.actions.push(RunAction::SendPeer {
             instance: peer.name.clone(),
             message: Box::new(TimedRunMessage {
+                receiver: peer.incarnation,
                 sent_at,
                 echo: peer.echo(self.now),
                 message,
@@ -539,7 +540,9 @@
 
     fn take_message(&mut self, sender: &PeerIdentity, timed: TimedRunMessage) {
         let mut replaced = None;
-        let (sent_at, echo) = (timed.sent_at, timed.echo);
+        let is_for_this_run = timed.receiver == self.settings.incarnation;
+        // The clock of an earlier process says nothing of this one's.
+        let (sent_at, echo) = (timed.sent_at, timed.echo.filter(|_| is_for_this_run));
         let noted = self
             .peers
             .note_message(self.now, sender, sent_at, echo, &mut replaced);
@@ -549,6 +552,11 @@
         let Some((peer, freshness)) = noted else {
             return;
         };
+        if !is_for_this_run {
+            let (instance, receiver) = (&sender.instance, timed.receiver);
+            tracing::info!(%instance, %receiver, content = %timed.message, "message to an earlier process ignored");
+            return;
+        }
         let is_fresh = freshness == Freshness::Fresh;
         let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
         match timed.message {
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -2,7 +2,8 @@
 //!
 //! Each may arrive twice, late or never. Every message carries the sender's clock and what the
 //! sender believes the receiver's clock to show, so that a receiver can tell how long a message
-//! was under way without a common clock.
+//! was under way without a common clock. Batches, clocks and what is said of them belong to one run
+//! of a process, so that a message names the one that it is for.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,11 +14,14 @@
 use super::run_digest::RunDigest;
 use super::run_id::JobId;
 use super::run_id::RunId;
+use crate::id::Incarnation;
 use crate::time::Timestamp;
 
 /// A message with its clock readings.
 #[value]
 pub struct TimedRunMessage {
+    /// The run of the receiver's process that the message is for; no other one acts on it.
+    pub receiver: Incarnation,
     /// The sender's clock.
     pub sent_at: Timestamp,
     /// The receiver's clock as far as the sender can tell: the last reading that it got, and the
--- a/lib/tests/reused_names.rs
+++ b/lib/tests/reused_names.rs
@@ -73,3 +73,34 @@
     assert!(site.usable_upstreams(home) > 0);
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
+
+/// Guards against what was said to an earlier life of a home, of whose batches it speaks, and that
+/// the next life takes for its own.
+#[test]
+fn word_to_an_earlier_life_of_a_home_ends_nothing_of_the_next() {
+    let (home, owner) = (0, 1);
+    let mut site = started();
+    for number in 1..=8 {
+        site.submit(
+            home,
+            "look",
+            &format!("{number:016x}"),
+            &run_job(8, 6_800, 30),
+        );
+        site.run_ms(100);
+    }
+    site.hold_messages(owner, home, true);
+    site.run_ms(400);
+    site.kill(home);
+    for upstream in [0, 1] {
+        site.set_upstream_path(home, upstream, Some(PathLoss::Orders));
+    }
+    site.run_ms(100);
+    site.start_node(home);
+    site.submit(home, "look", JOB, &run_job(1, 6_800, 300));
+    // The connections between them are open by then.
+    site.run_ms(30);
+    site.hold_messages(owner, home, false);
+    site.run_ms(1_500);
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
