runs: let a job take as long as its caller waits

Cause: one limit was taken for another. The home bounded a job by its queue's timeout even where the caller named a longer time of its own. On all sites that timeout is 1.5 s, so every job whose tasks take about 1.5 s or longer was given up as hopeless as soon as its progress showed. The timeout now counts only where the caller names nothing, and the setting's default only where the queue has none.

Other limits looked at, and right: DECLARED_SAFETY_PERCENT compares with what the caller still waits; SILENCE, ADRIFT_TIME, SURELY_ENDED, NO_OWNER_TIME and NO_OWNER_LEFT_TIME follow from leases and the discovery of owners; BATCH_ON_ITS_WAY from the age at which a batch is refused; KEEP_ANSWER from when callers come again; MAX_PLACEMENTS_PER_TASK counts refusals; a connection that waits for an answer is not idle (`guarded_transport`); lease and order timeouts belong to upstreams.

--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -13,7 +13,6 @@
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
 use super::run_dispatcher::RunDispatcher;
-
 use super::spread::OwnerView;
 use super::spread::choose_owner;
 use super::step_reach::StepReach;
@@ -48,9 +47,10 @@
         if let Some(refusal) = self.never_servable(&queue.service, &spec) {
             return Some(refusal);
         }
-        let limits = self.settings.limits;
-        let wait = wait.unwrap_or(limits.default_timeout);
-        let wait = queue.timeout.map_or(wait, |timeout| timeout.min(wait));
+        // The queue's timeout says nothing about a caller that names its own.
+        let wait = wait
+            .or(queue.timeout)
+            .unwrap_or(self.settings.limits.default_timeout);
         if self.exits_at.is_some_and(|at| self.now + wait > at) {
             return Some(not_run(NotRun::Stopping, Some(MIN_RETRY_AFTER)));
         }
--- a/lib/src/runs/intended_state.rs
+++ b/lib/src/runs/intended_state.rs
@@ -40,7 +40,7 @@
     pub stretch_percent: u32,
     /// The time on top of the stretched chain within which a job is to end.
     pub target_duration: Duration,
-    /// How long a request may take.
+    /// How long a request may take whose caller names no time.
     pub timeout: Option<Duration>,
 }
 
--- a/lib/src/runs/run_settings.rs
+++ b/lib/src/runs/run_settings.rs
@@ -26,7 +26,7 @@
 pub struct RunLimits {
     /// How long upstreams keep running what nobody holds: the longest lease that they grant.
     pub lease: Duration,
-    /// How long a request may take whose caller names no time.
+    /// How long a request may take whose caller names no time, on a queue without a timeout.
     pub default_timeout: Duration,
     /// How long the platform needs to list a living upstream again after an outage.
     pub relisting: Duration,
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -153,6 +153,7 @@
     upstream_paths: IndexMap<(usize, usize), PathLoss>,
     is_store_down: bool,
     order_fault: OrderFault,
+    caller_wait: Option<Duration>,
     random: u64,
     jobs: IndexMap<String, (Arc<JobSpec>, Duration)>,
     asked: IndexMap<(usize, RequestId), (String, Timestamp)>,
@@ -202,6 +203,7 @@
             upstream_paths: IndexMap::new(),
             is_store_down: false,
             order_fault: OrderFault::default(),
+            caller_wait: Some(Duration::from_millis(1_500)),
             random: plan.seed.wrapping_mul(2).wrapping_add(1),
             jobs: IndexMap::new(),
             asked: IndexMap::new(),
@@ -282,11 +284,16 @@
             host: "site.example".to_owned(),
             path: format!("/{queue}/{id}"),
             ask: Ask::Submit(job),
-            wait: Some(Duration::from_millis(1_500)),
+            wait: self.caller_wait,
         };
         self.hand(node, event);
     }
 
+    /// Changes how long callers say that they wait; none when they say nothing.
+    pub fn set_caller_wait(&mut self, wait: Option<Duration>) {
+        self.caller_wait = wait;
+    }
+
     /// Lets the caller of a job go away.
     pub fn drop_caller(&mut self, id: &str) {
         let found = self.asked.iter().rfind(|(_, (asked, _))| asked == id);
