runs: keep the log of a batch that is not held from naming an ended job

A report that names several batches as not held may end a job with the first of its tasks; the log line of the next one, added two commits ago, looked the job up without asking whether it is still there, and the process would panic.

--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -570,9 +570,12 @@
                 batch: number,
             };
             for task in self.tasks_in(key, |state| state == placed) {
-                let run = self.jobs[key].run(task);
+                // The job may have ended with a task before this one.
+                let Some(job) = self.jobs.get(key) else {
+                    break;
+                };
                 tracing::warn!(
-                    job = %run.task.job, run = %run, batch = number, highest_taken,
+                    job = %job.id, run = %job.run(task), batch = number, highest_taken,
                     owner = self.owner_name(owner), is_adoption,
                     "batch not held by its owner"
                 );
