runs: end the jobs of a stopping instance by their expected ends, and answer what is left

A stopping instance compared its exit with how long the caller is ready to wait, not with how long the job takes. Since a job may take as long as its caller waits, an instance in its grace of 6 s refused every job, and jobs that were open at the exit had their connections cut without an answer.

Now: a job is refused (not run, with Retry-After) if it is not expected to end by then, by its objective; one that is taken lasts no longer than the process, and neither do those that are open when the stop is asked for. 150 ms before the process exits (of 5.2 s, the grace less what taking down needs) the rest is answered: 504 `stopping` if something of it may have run, else 503 `stopping` with Retry-After.

Ruled out: that the connections of open jobs are cut when the callers' listener closes after 2.3 s; a job of 3.5 s on a stopping process completes (`leased_stop`).

--- /dev/null
+++ b/entry/tests/leased_stop.rs
@@ -0,0 +1,96 @@
+//! A planned stop of an instance that dispatches leased runs, while callers wait for seconds.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use almondhead_platform_standins::ProcessSite;
+use almondhead_platform_standins::submit;
+use almondhead_testsupport::run_site::run_job;
+use almondhead_testsupport::site::TestResult;
+use futures_lite::future::zip;
+use smol::Timer;
+
+/// The grace of the site's instances.
+const GRACE: Duration = Duration::from_secs(6);
+
+const CALLER_WAIT: Duration = Duration::from_secs(20);
+
+const PATH: &str = "/look/00000000000000e1";
+
+/// How long before the stop the caller asks.
+const BEFORE_STOP: Duration = Duration::from_millis(300);
+
+/// How long after their start instances take to know each other's upstreams.
+const ACQUAINTANCE: Duration = Duration::from_secs(1);
+
+async fn start(run_time: Duration) -> Result<ProcessSite, Box<dyn std::error::Error>> {
+    let site = ProcessSite::start(2, 4).await?;
+    for upstream in &site.upstreams {
+        upstream.set_run_time(run_time);
+    }
+    Timer::after(ACQUAINTANCE).await;
+    Ok(site)
+}
+
+/// Guards against connections that are cut when the listener closes.
+#[test]
+fn job_of_seconds_is_finished() -> TestResult {
+    smol::block_on(async {
+        let mut site = start(Duration::from_millis(3_500)).await?;
+        let address = site.instances[0].callers;
+        let job = run_job(4, 6_800, 3_500);
+        let asked = submit(address, PATH, &job, CALLER_WAIT);
+        let process = &mut site.instances[0].process;
+        let stop = async {
+            Timer::after(BEFORE_STOP).await;
+            process.terminate()
+        };
+        let (answer, stopped) = zip(asked, stop).await;
+        stopped?;
+        assert_eq!(answer?.state.as_deref(), Some("completed"));
+        let starts = site.upstreams.iter().flat_map(|upstream| upstream.starts());
+        assert_eq!(starts.map(|(_, times)| times).sum::<u64>(), 4);
+        site.instances[0].process.wait_for_exit(GRACE).await?;
+        Ok(())
+    })
+}
+
+/// Guards against connections that are cut when the process exits.
+#[test]
+fn job_beyond_the_grace_gets_its_answer() -> TestResult {
+    smol::block_on(async {
+        let mut site = start(Duration::from_secs(12)).await?;
+        let address = site.instances[0].callers;
+        let job = run_job(4, 6_800, 12_000);
+        let asked = submit(address, PATH, &job, CALLER_WAIT);
+        let process = &mut site.instances[0].process;
+        let stop = async {
+            Timer::after(BEFORE_STOP).await;
+            let stopped_at = Instant::now();
+            process.terminate()?;
+            process.wait_for_exit(GRACE).await?;
+            Ok::<_, almondhead_testsupport::ProcessError>(stopped_at.elapsed())
+        };
+        let (answer, took) = zip(asked, stop).await;
+        assert!(took? < GRACE);
+        let answer = answer?;
+        assert_eq!(answer.status, 504, "{answer:?}");
+        Ok(())
+    })
+}
+
+/// Guards against a refusal of every caller that is ready to wait beyond the exit.
+#[test]
+fn short_job_is_taken() -> TestResult {
+    smol::block_on(async {
+        let mut site = start(Duration::from_millis(60)).await?;
+        let address = site.instances[0].callers;
+        site.instances[0].process.terminate()?;
+        let stopping = site.instances[0].process.wait_for_line("stopping", GRACE);
+        stopping.await?;
+        let job = run_job(4, 6_800, 60);
+        let answer = submit(address, PATH, &job, CALLER_WAIT).await?;
+        assert_eq!(answer.state.as_deref(), Some("completed"), "{answer:?}");
+        Ok(())
+    })
+}
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -7,6 +7,7 @@
 use super::home::NewJob;
 use super::home::RETRY_AFTER_OVERLOAD;
 use super::home::longest_chain;
+use super::home::objective;
 use super::intended_state::Target;
 use super::job_spec::JobSpec;
 use super::requesting::not_run;
@@ -51,10 +52,12 @@
         let wait = wait
             .or(queue.timeout)
             .unwrap_or(self.settings.limits.default_timeout);
-        if self.exits_at.is_some_and(|at| self.now + wait > at) {
+        let expected = self.home.expected_runs(&queue.name, &spec);
+        let objective = objective(queue, &spec, &expected).min(wait);
+        if self.home.is_over_by(self.now + objective) {
             return Some(not_run(NotRun::Stopping, Some(MIN_RETRY_AFTER)));
         }
-        let expected = self.home.expected_runs(&queue.name, &spec);
+        let wait = self.home.time_left(self.now, wait);
         let mut views = self.views(&queue.service);
         if let Err(refusal) = check_load(&mut views, &spec, &expected, wait) {
             return Some(refusal);
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -130,6 +130,8 @@
     pub(crate) timers: TimerService<HomeTimer>,
     pub(crate) outputs: Vec<HomeOutput>,
     is_dirty: bool,
+    /// When a stopping process gives its last answers.
+    last_answers_at: Option<Timestamp>,
 }
 
 /// A job that passed every check.
@@ -193,8 +195,7 @@
             spec,
             wait,
         } = new;
-        let chain = longest_chain(&spec, &expected_runs);
-        let objective = chain * queue.stretch_percent.max(100) / 100 + queue.target_duration;
+        let objective = objective(&queue, &spec, &expected_runs);
         let deadline = now + wait.saturating_sub(ANSWER_TIME);
         let tasks = (0..).zip(&spec.steps).flat_map(|(step, of)| {
             (0..of.tasks).map(move |index| HomeTask {
@@ -877,13 +878,39 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        let why = match job.may_have_run || job.is_placed() {
-            true => Unfinished::GivenUp(GivenUp::Deadline),
-            false => Unfinished::NotRun(NotRun::WaitedTooLong),
+        let is_stopping = self.is_over_by(now);
+        let why = match (job.may_have_run || job.is_placed(), is_stopping) {
+            (true, true) => Unfinished::GivenUp(GivenUp::Stopping),
+            (true, false) => Unfinished::GivenUp(GivenUp::Deadline),
+            (false, true) => Unfinished::NotRun(NotRun::Stopping),
+            (false, false) => Unfinished::NotRun(NotRun::WaitedTooLong),
         };
         self.end_unfinished(now, key, why);
     }
 
+    /// Lets no job last longer than the process, which gives its last answers then.
+    pub(crate) fn stop(&mut self, last_answers_at: Timestamp) {
+        self.last_answers_at = Some(last_answers_at);
+        for (key, job) in &mut self.jobs {
+            if job.deadline > last_answers_at {
+                job.limit_to(last_answers_at);
+                self.timers
+                    .subscribe(last_answers_at, HomeTimer::Deadline(key));
+            }
+        }
+    }
+
+    /// Whether the process gives no answers any more at that time.
+    pub(crate) fn is_over_by(&self, at: Timestamp) -> bool {
+        self.last_answers_at.is_some_and(|last| last <= at)
+    }
+
+    /// The part of a caller's wait that the process lives to see.
+    pub(crate) fn time_left(&self, now: Timestamp, wait: Duration) -> Duration {
+        self.last_answers_at
+            .map_or(wait, |last| wait.min(last.since(now)))
+    }
+
     fn ending_overdue(&mut self, now: Timestamp, key: HomeJobKey) {
         if self.jobs.contains_key(key) {
             self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
@@ -905,6 +932,16 @@
 /// When to come back after a refusal for load where nothing better is known.
 pub(crate) const RETRY_AFTER_OVERLOAD: Duration = Duration::from_secs(1);
 
+/// The time within which a job is to end.
+pub(crate) fn objective(
+    queue: &JobQueueSettings,
+    spec: &JobSpec,
+    expected_runs: &[Duration],
+) -> Duration {
+    let chain = longest_chain(spec, expected_runs);
+    chain * queue.stretch_percent.max(100) / 100 + queue.target_duration
+}
+
 /// The expected run time of the longest chain of steps.
 pub(crate) fn longest_chain(spec: &JobSpec, expected_runs: &[Duration]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(expected_runs.len());
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Lets it last no longer than to a time.
+    pub(crate) fn limit_to(&mut self, deadline: Timestamp) {
+        self.deadline = self.deadline.min(deadline);
+        self.objective_at = self.objective_at.min(deadline);
+    }
+
     /// Whether a task waits for an owner.
     pub(crate) fn is_waiting(&self) -> bool {
         let mut tasks = self.tasks.iter();
--- a/lib/src/runs/run_answer.rs
+++ b/lib/src/runs/run_answer.rs
@@ -103,4 +103,7 @@
     /// The caller left or cancelled.
     #[display("cancelled")]
     Cancelled,
+    /// This instance exits before the job ends.
+    #[display("stopping")]
+    Stopping,
 }
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -60,6 +60,10 @@
 /// read from the roster within 550 ms, and known to listen after 100 ms and two heartbeats of 150.
 const NO_OWNER_LEFT_TIME: Duration = Duration::from_secs(1);
 
+/// How long before a stopping process exits the jobs that are still open are answered, so that the
+/// answers are written by then.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+
 /// Reads intended states that other instances pass on.
 pub trait IntendedDecoder: fmt::Debug + Send {
     /// The state in these bytes; none when they hold none.
@@ -104,7 +108,6 @@
     /// The instances that this one exchanges heartbeats with.
     neighbours: Vec<Arc<str>>,
     is_leaving: bool,
-    pub(crate) exits_at: Option<Timestamp>,
     reported_free: u32,
     reported_queue: bool,
     reported_at: Timestamp,
@@ -133,7 +136,6 @@
             unsent: Vec::new(),
             neighbours: Vec::new(),
             is_leaving: false,
-            exits_at: None,
             reported_free: 0,
             reported_queue: false,
             reported_at: Timestamp::ZERO,
@@ -252,7 +254,8 @@
 
     fn stop(&mut self, grace: Duration) {
         self.is_leaving = true;
-        self.exits_at = Some(self.now + grace);
+        let last_answers_at = self.now + grace.saturating_sub(LAST_ANSWERS);
+        self.home.stop(last_answers_at);
         self.owner.leave();
         self.assign_upstreams();
         self.send_reports();
