--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -7,13 +7,13 @@
 use super::home::NewJob;
 use super::home::RETRY_AFTER_OVERLOAD;
 use super::home::longest_chain;
+use super::home::objective;
 use super::intended_state::Target;
 use super::job_spec::JobSpec;
 use super::requesting::not_run;
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
 use super::run_dispatcher::RunDispatcher;
-
 use super::spread::OwnerView;
 use super::spread::choose_owner;
 use super::step_reach::StepReach;
@@ -48,13 +48,16 @@
         if let Some(refusal) = self.never_servable(&queue.service, &spec) {
             return Some(refusal);
         }
-        let limits = self.settings.limits;
-        let wait = wait.unwrap_or(limits.default_timeout);
-        let wait = queue.timeout.map_or(wait, |timeout| timeout.min(wait));
-        if self.exits_at.is_some_and(|at| self.now + wait > at) {
+        // The queue's timeout says nothing about a caller that names its own.
+        let wait = wait
+            .or(queue.timeout)
+            .unwrap_or(self.settings.limits.default_timeout);
+        let expected = self.home.expected_runs(&queue.name, &spec);
+        let objective = objective(queue, &spec, &expected).min(wait);
+        if self.home.is_over_by(self.now + objective) {
             return Some(not_run(NotRun::Stopping, Some(MIN_RETRY_AFTER)));
         }
-        let expected = self.home.expected_runs(&queue.name, &spec);
+        let wait = self.home.time_left(self.now, wait);
         let mut views = self.views(&queue.service);
         if let Err(refusal) = check_load(&mut views, &spec, &expected, wait) {
             return Some(refusal);
