entry: look whether a caller is still there before its job is taken in

What callers saw: nothing on their own; but a job that they had sent elsewhere after a lost answer ran at both instances for some milliseconds (TWICE).

Cause: an instance that stood still reads, when it goes on, requests whose connections have ended meanwhile. It handed each to the dispatcher, which started tasks at once, and only then looked whether the connection still stands.

Evidence: request_whose_caller_left_a_frozen_instance_starts_nothing, with whole processes: three tasks started before, none now.

--- a/entry/src/run_api.rs
+++ b/entry/src/run_api.rs
@@ -68,6 +68,13 @@
         },
         _ => return Refusal::MethodNotAllowed.reply(conn),
     };
+    // A process that was frozen reads requests whose callers left meanwhile and may have sent their
+    // jobs elsewhere.
+    if conn.is_disconnected().await {
+        tracing::info!(path = conn.path(), "request ignored: its caller has left");
+        context.metrics.count_left(came_at.elapsed());
+        return Refusal::Busy.reply(conn);
+    }
     let headers = conn.request_headers();
     let wait = waiting_time(|name| headers.get_str(name));
     let host = headers.get_str("host").unwrap_or_default().to_owned();
--- a/entry/tests/leased_site.rs
+++ b/entry/tests/leased_site.rs
@@ -11,6 +11,7 @@
 use almondhead_platform_standins::submit;
 use almondhead_testsupport::run_site::run_job;
 use almondhead_testsupport::site::TestResult;
+use futures_lite::future::or;
 use smol::Timer;
 
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -204,3 +205,24 @@
         Ok(())
     })
 }
+
+/// Guards against a job that a frozen instance takes in when it goes on, although its caller has
+/// left and has sent the job to another one.
+#[test]
+fn request_whose_caller_left_a_frozen_instance_starts_nothing() -> TestResult {
+    smol::block_on(async {
+        let mut site = ProcessSite::start(2, 4).await?;
+        site.instances[0].process.freeze()?;
+        let left = or(ask(&site, 0, 7, 4), async {
+            Timer::after(Duration::from_millis(300)).await;
+            None
+        });
+        assert!(left.await.is_none());
+        site.instances[0].process.thaw()?;
+        Timer::after(Duration::from_millis(500)).await;
+        assert!(starts(&site).is_empty(), "{:?}", starts(&site));
+        let answer = ask(&site, 0, 8, 4).await;
+        assert!(is_completed(&answer), "{answer:?}");
+        Ok(())
+    })
+}
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -342,8 +342,19 @@
     /// Lets a frozen instance go on.
     pub fn thaw(&mut self, node: usize) {
         self.nodes[node].is_frozen = false;
-        for event in std::mem::take(&mut self.nodes[node].waiting) {
-            self.hand(node, event);
+        let waiting = std::mem::take(&mut self.nodes[node].waiting);
+        let left = waiting.iter().filter_map(|event| match event {
+            RunEvent::RequestDropped { request } => Some(*request),
+            _ => None,
+        });
+        let left: IndexSet<RequestId> = left.collect();
+        for event in waiting {
+            // The process sees that a connection has ended before it hands its request over.
+            let is_ended =
+                matches!(&event, RunEvent::Requested { request, .. } if left.contains(request));
+            if !is_ended {
+                self.hand(node, event);
+            }
         }
         self.hand(node, RunEvent::Tick);
     }
