runs: fence another life of an upstream against starts of the one before

What callers saw: a task that ran twice at a time, or a job that ran although it was said not to have run, after a start had been held up for seconds and its upstream had started again meanwhile.

An upstream that starts again under its id knows no fence, and its clock begins anew, so that it accepts a late start of its former life: fence and lease look valid.

Fix: an ownership has 256 fences, and its owner takes the next one for each life that it sees.

--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -20,6 +20,10 @@
 /// The most ends of others' runs that are remembered, more than an upstream runs at a time.
 const MAX_FOUND_ENDS: usize = 64;
 
+/// The fences of one ownership: it begins with the first, and each later life of the upstream gets
+/// the next.
+const FENCES_PER_VERSION: u64 = 256;
+
 /// Whether an upstream answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Contact {
@@ -69,10 +73,11 @@
 }
 
 impl LeasedUpstream {
-    pub(crate) fn new(listed: Arc<ListedUpstream>, fence: u64) -> Self {
+    /// An upstream owned by the roster of this version.
+    pub(crate) fn new(listed: Arc<ListedUpstream>, version: u64) -> Self {
         LeasedUpstream {
             listed,
-            fence,
+            fence: version.saturating_mul(FENCES_PER_VERSION),
             is_released: false,
             contact: Contact::Taking,
             clock: None,
@@ -90,6 +95,18 @@
         }
     }
 
+    /// The version of the roster that its ownership follows from.
+    pub(crate) fn roster_version(&self) -> u64 {
+        self.fence / FENCES_PER_VERSION
+    }
+
+    /// Raises the fence for another life of the upstream, which knows of none: a start of before that
+    /// is carried out late must not be accepted there.
+    pub(crate) fn raise_fence(&mut self) {
+        let is_last = (self.fence + 1).is_multiple_of(FENCES_PER_VERSION);
+        self.fence += u64::from(!is_last);
+    }
+
     /// The room that no run uses.
     pub(crate) fn free(&self) -> Resources {
         let mut used = Resources::default();
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -201,7 +201,7 @@
             return;
         }
         self.lost.swap_remove(&listed.id);
-        tracing::info!(upstream = %listed.id, fence = version, "upstream taken over");
+        tracing::info!(upstream = %listed.id, roster_version = version, "upstream taken over");
         let upstream = LeasedUpstream::new(listed.clone(), version);
         let key = self.upstreams.insert(upstream);
         self.by_id.insert(listed.id.clone(), key);
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -742,6 +742,7 @@
         let id = &upstream.listed.id;
         tracing::warn!(upstream = %id, ?born_unix_ms, "upstream lives another life");
         upstream.born_unix_ms = born_unix_ms;
+        upstream.raise_fence();
         upstream.seen_end = 0;
         upstream.contact = Contact::Taking;
         upstream.strays.clear();
@@ -769,10 +770,11 @@
         let Some(upstream) = self.remove(on) else {
             return;
         };
-        let (id, fence) = (upstream.listed.id.clone(), upstream.fence);
+        let id = upstream.listed.id.clone();
+        let (fence, version) = (upstream.fence, upstream.roster_version());
         let runs = upstream.runs.len();
         tracing::warn!(upstream = %id, fence, runs, "upstream has a newer owner");
-        self.lost.insert(id, fence);
+        self.lost.insert(id, version);
         self.lingering.retain(|_, until| *until > now);
         let starts = self
             .orders
--- a/lib/tests/run_faults.rs
+++ b/lib/tests/run_faults.rs
@@ -363,6 +363,13 @@
     play(seeds, LONG_WAIT_MS);
 }
 
+/// Guards against a start of before that is carried out on an upstream which has started again and
+/// which its owner has not looked at since.
+#[test]
+fn no_late_start_takes_effect_on_an_upstream_that_has_just_started_again() {
+    play([110], LONG_WAIT_MS);
+}
+
 fn play(seeds: impl IntoIterator<Item = u64>, caller_wait_ms: u64) {
     let mut failed = Vec::new();
     for seed in seeds {
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -427,7 +427,7 @@
     pub fn set_upstream_fault(&mut self, upstream: usize, fault: Option<UpstreamFault>) {
         self.upstreams[upstream].fault = fault;
         if fault == Some(UpstreamFault::Dark) {
-            self.upstreams[upstream].forget_all();
+            self.upstreams[upstream].forget_all(self.now);
         }
     }
 
@@ -435,7 +435,7 @@
     pub fn restart_upstream(&mut self, upstream: usize) {
         let state = &mut self.upstreams[upstream];
         state.fault = None;
-        state.forget_all();
+        state.forget_all(self.now);
         let mut listed = (*state.listed).clone();
         listed.born_unix_ms = listed.born_unix_ms.map(|born| born + 1_000);
         state.listed = Arc::new(listed);
--- a/lib/testsupport/src/run_site/upstream.rs
+++ b/lib/testsupport/src/run_site/upstream.rs
@@ -62,6 +62,9 @@
     pub(super) newest_ended: IndexMap<TaskName, u32>,
     pub(super) holds: Vec<WaitingHold>,
     pub(super) starts: u64,
+    /// When this life of it began, and what its clock showed then.
+    started_at: Timestamp,
+    clock_offset_ms: u64,
 }
 
 /// What a start asks.
@@ -90,18 +93,23 @@
             newest_ended: IndexMap::new(),
             holds: Vec::new(),
             starts: 0,
+            started_at: Timestamp::ZERO,
+            clock_offset_ms: CLOCK_OFFSET_MS,
         }
     }
 
     /// Its own clock, which is off from the site's and slower.
     pub(super) fn clock_ms(&self, now: Timestamp) -> u64 {
-        now.as_us() * CLOCK_SPEED_PERCENT / 100_000 + CLOCK_OFFSET_MS
+        let since_start_us = now.since(self.started_at).as_micros();
+        let since_start_us = u64::try_from(since_start_us).unwrap_or(u64::MAX);
+        since_start_us * CLOCK_SPEED_PERCENT / 100_000 + self.clock_offset_ms
     }
 
     fn extend_lease(&mut self, now: Timestamp, until_ms: u64) {
         let until_ms = until_ms.min(self.clock_ms(now) + LONGEST_LEASE_MS);
-        let until_us = until_ms.saturating_sub(CLOCK_OFFSET_MS) * 100_000 / CLOCK_SPEED_PERCENT;
-        self.lease_until = self.lease_until.max(Timestamp::from_us(until_us));
+        let since_start_ms = until_ms.saturating_sub(self.clock_offset_ms);
+        let since_start = Duration::from_micros(since_start_ms * 100_000 / CLOCK_SPEED_PERCENT);
+        self.lease_until = self.lease_until.max(self.started_at + since_start);
     }
 
     pub(super) fn check_fence(&mut self, fence: u64) -> Result<(), OrderRefusal> {
@@ -238,8 +246,10 @@
         ends.chain([self.lease_until]).min()
     }
 
-    /// Starts anew, knowing nothing.
-    pub(super) fn forget_all(&mut self) {
+    /// Starts anew, knowing nothing; its clock begins at zero.
+    pub(super) fn forget_all(&mut self, now: Timestamp) {
+        self.started_at = now;
+        self.clock_offset_ms = 0;
         self.runs.clear();
         self.ended.clear();
         self.newest_ended.clear();
@@ -250,7 +260,7 @@
     }
 }
 
-/// How far upstreams' clocks are ahead of the site's.
+/// How far upstreams' clocks are ahead of the site's at first.
 const CLOCK_OFFSET_MS: u64 = 480_000;
 
 /// How fast upstreams' clocks run, in hundredths of the site's: the slowest that they promise.
