runs: let no lease of an upstream's former life keep a run from being lost

What callers saw: a job that did not end until its caller's limit, on an upstream that had started again and then went out of reach.

Cause: the end of the last lease is kept on the upstream's clock, and only ever rises. The clock of the next life begins anew, so that the lease of the life before seems to last for minutes, and its runs are never taken for lapsed. With callers that wait long this costs whole seconds.

Fix: the first list of a life, or after a take-over, sets the lease to the longest that can have been given by then on that clock.

--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -411,6 +411,7 @@
         look: Look,
         report: HoldReport,
     ) -> bool {
+        let lease = self.lease;
         let upstream = &mut self.upstreams[on];
         let first = upstream.contact == Contact::Taking;
         if upstream.born_unix_ms.is_some() && report.born_unix_ms != upstream.born_unix_ms {
@@ -419,6 +420,10 @@
         let upstream = &mut self.upstreams[on];
         upstream.born_unix_ms = report.born_unix_ms.or(upstream.born_unix_ms);
         upstream.clock = Some(UpstreamClock::new(report.clock_ms, now));
+        if upstream.contact == Contact::Taking {
+            // Leases of before were given on another clock, or by another owner.
+            upstream.lease_until_ms = report.clock_ms.saturating_add(whole_ms(lease));
+        }
         upstream.has_missed = false;
         // A hold that waits is answered by the end itself.
         let is_exact = look.sent_at.since(upstream.reported_at) <= LISTENING_GAP;
--- a/lib/tests/lost_orders.rs
+++ b/lib/tests/lost_orders.rs
@@ -1,8 +1,11 @@
 //! Orders to upstreams that get lost, or are carried out late.
 
+use std::time::Duration;
+
 use almondhead_lib::runs::run_answer::JobEnd;
 use almondhead_lib::runs::run_answer::RunAnswer;
 use almondhead_testsupport::run_site::OrderFault;
+use almondhead_testsupport::run_site::PathLoss;
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::UpstreamFault;
@@ -137,3 +140,26 @@
     play(&mut site, 100, 1_500);
     assert_eq!(site.starts_at(0), before);
 }
+
+/// Guards against a lease of an upstream's former life, whose clock was ahead, that keeps a run
+/// which can no longer be reached from starting over.
+#[test]
+fn run_in_the_next_life_of_an_upstream_is_lost_with_its_lease() {
+    let mut site = RunSite::start(&SitePlan::new(1, 1, 2));
+    site.set_caller_wait(Some(Duration::from_millis(6_000)));
+    site.run_ms(1_000);
+    site.submit(0, "look", "00000000000000aa", &run_job(4, 6_800, 60));
+    site.run_ms(200);
+    site.restart_upstream(0);
+    site.run_ms(1_000);
+    site.submit(0, "look", "00000000000000ab", &run_job(4, 6_800, 500));
+    site.run_ms(50);
+    site.set_upstream_path(0, 0, Some(PathLoss::Orders));
+    site.run_ms(3_000);
+    let answer = site.answer("00000000000000ab").expect("an answer");
+    assert_eq!(answer.answer, RunAnswer::Ended(JobEnd::Completed));
+    let took = answer.answered_at.since(answer.asked_at).as_millis();
+    // Half a second, a lease of a second, and half a second elsewhere.
+    assert!(took < 2_300, "{took} ms");
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
