runs: lose the runs of an upstream that is listed as started again and stays out of reach

What callers saw: a job that did not end until its caller's limit, after an upstream had started again behind a cut.

Cause: an upstream that the store lists as started again is taken over anew, and one that is being taken over does not count as silent; so its runs of the life before were kept with the last lease that had been given, which nobody looked at any more.

--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -703,7 +703,10 @@
         let Some(upstream) = self.upstreams.get_mut(on) else {
             return;
         };
-        if upstream.contact == Contact::InTouch {
+        // One that is listed as started again, with runs of before, may be out of reach too.
+        let has_runs = !upstream.runs.is_empty();
+        if upstream.contact == Contact::InTouch || (upstream.contact == Contact::Taking && has_runs)
+        {
             let runs = upstream.runs.len();
             tracing::warn!(upstream = %upstream.listed.id, runs, "upstream silent");
             upstream.contact = Contact::Silent { since: now };
--- a/lib/tests/lost_orders.rs
+++ b/lib/tests/lost_orders.rs
@@ -163,3 +163,26 @@
     assert!(took < 2_300, "{took} ms");
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
+
+/// Guards against runs of an upstream that is listed as started again, and out of reach since, that
+/// never count as over.
+#[test]
+fn runs_of_an_upstream_lost_with_its_restart_start_over() {
+    let mut site = RunSite::start(&SitePlan::new(2, 1, 2));
+    site.run_ms(1_000);
+    site.set_caller_wait(Some(Duration::from_millis(6_000)));
+    site.submit(0, "look", "00000000000000aa", &run_job(4, 6_800, 500));
+    site.run_ms(100);
+    let upstream = (0..site.upstreams()).find(|upstream| site.starts_at(*upstream) > 0);
+    let upstream = upstream.expect("an upstream that started a task");
+    for node in 0..site.nodes() {
+        site.set_upstream_path(node, upstream, Some(PathLoss::Orders));
+    }
+    site.delist(upstream);
+    site.restart_upstream(upstream);
+    site.relist(upstream);
+    site.run_ms(5_500);
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+    let answer = site.answer("00000000000000aa").expect("an answer");
+    assert_eq!(answer.answer, RunAnswer::Ended(JobEnd::Completed));
+}
