--- a/entry/tests/leased_site.rs
+++ b/entry/tests/leased_site.rs
@@ -201,6 +201,8 @@
             "{text}"
         );
         assert!(text.contains("almondhead_order_seconds_bucket"), "{text}");
+        // Callers of long jobs wait for more than ten seconds.
+        assert!(text.contains("le=\"12\""), "{text}");
         Ok(())
     })
 }
