--- a/entry/tests/leased_site.rs
+++ b/entry/tests/leased_site.rs
@@ -112,6 +112,7 @@
             assert!(upstream.most_at_once() <= 1);
             assert_eq!(upstream.running(), 0);
         }
+        assert!(site.overlaps().is_empty(), "{:?}", site.overlaps());
         Ok(())
     })
 }
