runs: count why jobs are given up and tasks start over

Refusals had no reason either.

The home counts them (RunCounts, read with the status) and the process serves them: almondhead_jobs_given_up_total, almondhead_tasks_started_over_total, almondhead_found_ends_total and almondhead_runs_adrift_total; the process counts almondhead_run_refusals_total by reason. All labels come from fixed lists.

--- /dev/null
+++ b/entry/src/decision_metrics.rs
@@ -0,0 +1,68 @@
+//! Counters of what a home of leased runs decided.
+
+use almondhead_lib::runs::run_counts::RunCounts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+
+/// The counters that follow a dispatcher's counts.
+pub(crate) struct DecisionMetrics {
+    given_up: IntCounterVec,
+    started_over: IntCounterVec,
+    found_ends: IntCounterVec,
+    adrift: IntCounter,
+}
+
+impl DecisionMetrics {
+    pub(crate) fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<IntCounterVec, prometheus::Error>(counters)
+        };
+        let given_up = counters(
+            "almondhead_jobs_given_up_total",
+            "Jobs given up after something of them may have run, by reason.",
+            "reason",
+        )?;
+        let started_over = counters(
+            "almondhead_tasks_started_over_total",
+            "Tasks that start over after a run of them, by reason.",
+            "reason",
+        )?;
+        let found_ends = counters(
+            "almondhead_found_ends_total",
+            "Ends of open tasks that another owner of the upstream found.",
+            "end",
+        )?;
+        let adrift = IntCounter::new(
+            "almondhead_runs_adrift_total",
+            "Runs that may go on while no owner in reach answers for them.",
+        )?;
+        registry.register(Box::new(adrift.clone()))?;
+        Ok(DecisionMetrics {
+            given_up,
+            started_over,
+            found_ends,
+            adrift,
+        })
+    }
+
+    /// Brings the counters up to those of the dispatcher.
+    pub(crate) fn copy(&self, counts: &RunCounts) {
+        let copy = |counter: &IntCounter, count: u64| {
+            counter.inc_by(count.saturating_sub(counter.get()));
+        };
+        for (reason, count) in counts.given_up() {
+            copy(&self.given_up.with_label_values(&[reason]), count);
+        }
+        for (reason, count) in counts.started_over() {
+            copy(&self.started_over.with_label_values(&[reason]), count);
+        }
+        for (end, count) in counts.found_ends() {
+            copy(&self.found_ends.with_label_values(&[end]), count);
+        }
+        copy(&self.adrift, counts.adrift());
+    }
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller_context;
 mod claim_queue;
 mod clock;
+mod decision_metrics;
 mod document_watch;
 mod driver;
 mod driver_handle;
--- a/entry/src/run_metrics.rs
+++ b/entry/src/run_metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondhead_lib::runs::run_answer::NotRun;
 use almondhead_lib::runs::run_answer::RunAnswer;
 use almondhead_lib::runs::run_order::OrderAnswer;
 use almondhead_lib::runs::run_order::RunOrder;
@@ -16,6 +17,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::decision_metrics::DecisionMetrics;
+
 /// The metrics of one process; clones share them.
 #[derive(Clone)]
 pub(crate) struct RunMetrics(Arc<Inner>);
@@ -27,6 +30,8 @@
     orders: IntCounterVec,
     order_seconds: HistogramVec,
     state: IntGaugeVec,
+    refusals: IntCounterVec,
+    decisions: DecisionMetrics,
 }
 
 const BUCKETS_SECONDS: [f64; 14] = [
@@ -67,6 +72,15 @@
             ),
             &["what"],
         )?;
+        let refusals = IntCounterVec::new(
+            Opts::new(
+                "almondhead_run_refusals_total",
+                "Requests refused with nothing run, by reason.",
+            ),
+            &["reason"],
+        )?;
+        let decisions = DecisionMetrics::new(&registry)?;
+        registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(answer_seconds.clone()))?;
         registry.register(Box::new(orders.clone()))?;
@@ -79,12 +93,18 @@
             orders,
             order_seconds,
             state,
+            refusals,
+            decisions,
         })))
     }
 
     /// Counts an answer.
     pub(crate) fn count_answer(&self, answer: &RunAnswer, took: Duration) {
         self.count_outcome(answer_name(answer), took);
+        if let RunAnswer::NotRun { reason, .. } = answer {
+            let reason = refusal_name(reason);
+            self.0.refusals.with_label_values(&[reason]).inc();
+        }
     }
 
     /// Counts a caller who left before the answer.
@@ -114,6 +134,7 @@
     /// The text of a scrape, with the gauges set by `status`.
     pub(crate) fn scrape(&self, status: &RunStatus) -> Result<Vec<u8>, prometheus::Error> {
         self.set_gauges(status);
+        self.0.decisions.copy(&status.counts);
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
         Ok(text)
@@ -161,6 +182,19 @@
     }
 }
 
+fn refusal_name(reason: &NotRun) -> &'static str {
+    match reason {
+        NotRun::NoIntendedState => "no_intended_state",
+        NotRun::Spec(_) => "unsupported",
+        NotRun::NeedsNoUpstreamHas => "needs_no_upstream_has",
+        NotRun::NoUpstreamInReach => "no_upstream_in_reach",
+        NotRun::Overloaded => "overloaded",
+        NotRun::WaitedTooLong => "waited_too_long",
+        NotRun::TooManyJobs => "too_many_jobs",
+        NotRun::Stopping => "stopping",
+    }
+}
+
 fn order_name(order: &RunOrder) -> &'static str {
     match order {
         RunOrder::Start { .. } => "start",
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -28,6 +28,7 @@
 mod roster_watch;
 pub mod run_action;
 pub mod run_answer;
+pub mod run_counts;
 pub mod run_digest;
 pub mod run_dispatcher;
 pub mod run_id;
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -17,6 +17,7 @@
 use super::run_answer::JobProgress;
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
+use super::run_counts::RunCounts;
 use super::run_digest::WaitingJobs;
 use super::run_id::HomeJobKey;
 use super::run_id::JobId;
@@ -129,6 +130,7 @@
     estimates: IndexMap<Arc<str>, RunEstimate>,
     pub(crate) timers: TimerService<HomeTimer>,
     pub(crate) outputs: Vec<HomeOutput>,
+    pub(crate) counts: RunCounts,
     is_dirty: bool,
 }
 
@@ -294,11 +296,13 @@
             RunEnd::NotStarted(reason) => self.task_not_started(now, key, task, reason),
             RunEnd::Lost { upstream } => {
                 job.tasks[task].avoid.push(upstream);
+                self.counts.started_over_lost += 1;
                 self.start_over(now, key, task);
             }
             RunEnd::TakenOver => self.set_adrift(now, key, task, now, None),
             RunEnd::TooSlow { work, upstream } => {
                 job.note_slow(task, work, upstream);
+                self.counts.started_over_too_slow += 1;
                 self.start_over(now, key, task);
             }
         }
@@ -337,6 +341,7 @@
         if state.failures >= most {
             return self.end_job(now, key, JobEnd::Failed);
         }
+        self.counts.started_over_failed += 1;
         self.start_over(now, key, task);
     }
 
@@ -416,6 +421,7 @@
         let age_ms = whole_ms(now.since(since));
         tracing::info!(job = %job.id, run = %job.run(task), age_ms, ?from, "run adrift");
         job.tasks[task].state = HomeState::Adrift { since, from };
+        self.counts.adrift += 1;
         let claimable_until = (since + CLAIMABLE_TIME).max(now);
         let due = claimable_until.min(now + ADRIFT_TIME);
         self.timers.subscribe(due, HomeTimer::Adrift(key));
@@ -441,6 +447,7 @@
             if ended_at <= now {
                 let age_ms = whole_ms(now.since(since));
                 tracing::info!(job = %job.id, run = %job.run(task), age_ms, "adrift run is over");
+                self.counts.started_over_adrift += 1;
                 self.start_over(now, key, task);
             } else if ended_at + job.least_run(task) > job.deadline {
                 self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::OwnerLost));
@@ -500,6 +507,7 @@
                     owner = self.owner_name(owner), state = ?self.jobs[key].tasks[task].state,
                     "end found by another owner"
                 );
+                self.counts.count_found(found);
                 self.end_task(now, key, task, end);
             }
         }
@@ -638,6 +646,7 @@
     fn restart_ended(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
         if let Some(job) = self.jobs.get_mut(key) {
             job.may_have_run = true;
+            self.counts.started_over_not_held += 1;
             self.start_over(now, key, task);
         }
     }
@@ -757,6 +766,7 @@
         let Some(job) = self.remove(key) else {
             return;
         };
+        self.counts.count_unfinished(why, now >= job.deadline);
         let answer = match why {
             Unfinished::NotRun(reason) => {
                 log_end(now, &job, &format!("not_run {reason}"));
--- /dev/null
+++ b/lib/src/runs/run_counts.rs
@@ -0,0 +1,82 @@
+//! Counts of what a home decided.
+
+use super::home_job::Unfinished;
+use super::run_answer::GivenUp;
+use super::run_message::FoundEnd;
+
+/// How often a home decided what, since its process started.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunCounts {
+    given_up_no_time_left: u64,
+    given_up_limit_passed: u64,
+    given_up_owner_lost: u64,
+    given_up_caller_left: u64,
+    pub(crate) started_over_lost: u64,
+    pub(crate) started_over_too_slow: u64,
+    pub(crate) started_over_failed: u64,
+    pub(crate) started_over_not_held: u64,
+    pub(crate) started_over_adrift: u64,
+    found_done: u64,
+    found_failed: u64,
+    found_lost: u64,
+    pub(crate) adrift: u64,
+}
+
+impl RunCounts {
+    /// Counts a job that ends unfinished.
+    pub(crate) fn count_unfinished(&mut self, why: Unfinished, is_limit_passed: bool) {
+        let Unfinished::GivenUp(why) = why else {
+            return;
+        };
+        match why {
+            GivenUp::Deadline if is_limit_passed => self.given_up_limit_passed += 1,
+            GivenUp::Deadline => self.given_up_no_time_left += 1,
+            GivenUp::OwnerLost => self.given_up_owner_lost += 1,
+            GivenUp::Cancelled => self.given_up_caller_left += 1,
+        }
+    }
+
+    /// Counts an end that another owner found and that was taken for one of an open task.
+    pub(crate) fn count_found(&mut self, found: &FoundEnd) {
+        match found {
+            FoundEnd { done: true, .. } => self.found_done += 1,
+            FoundEnd { failed: true, .. } => self.found_failed += 1,
+            _ => self.found_lost += 1,
+        }
+    }
+
+    /// The jobs given up, by reason.
+    pub fn given_up(&self) -> [(&'static str, u64); 4] {
+        [
+            ("no_time_left", self.given_up_no_time_left),
+            ("limit_passed", self.given_up_limit_passed),
+            ("owner_lost", self.given_up_owner_lost),
+            ("caller_left", self.given_up_caller_left),
+        ]
+    }
+
+    /// The tasks started over, by reason.
+    pub fn started_over(&self) -> [(&'static str, u64); 5] {
+        [
+            ("lost", self.started_over_lost),
+            ("too_slow", self.started_over_too_slow),
+            ("failed", self.started_over_failed),
+            ("not_held", self.started_over_not_held),
+            ("adrift_over", self.started_over_adrift),
+        ]
+    }
+
+    /// The ends of open tasks that another owner found, by how they ended.
+    pub fn found_ends(&self) -> [(&'static str, u64); 3] {
+        [
+            ("done", self.found_done),
+            ("failed", self.found_failed),
+            ("lost", self.found_lost),
+        ]
+    }
+
+    /// The runs for which no owner in reach answered.
+    pub fn adrift(&self) -> u64 {
+        self.adrift
+    }
+}
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -192,6 +192,7 @@
                 .values()
                 .filter(|peer| peer.is_heard(self.now))
                 .count(),
+            counts: self.home.counts,
         }
     }
 
--- a/lib/src/runs/run_status.rs
+++ b/lib/src/runs/run_status.rs
@@ -1,5 +1,7 @@
 //! A reading of a dispatcher's state.
 
+use super::run_counts::RunCounts;
+
 /// How a dispatcher stands.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RunStatus {
@@ -29,4 +31,6 @@
     pub peers: usize,
     /// Those of them that spoke lately.
     pub peers_heard: usize,
+    /// What its home decided.
+    pub counts: RunCounts,
 }
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -20,6 +20,7 @@
 use almondhead_lib::runs::roster::Roster;
 use almondhead_lib::runs::run_action::RunAction;
 use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_lib::runs::run_counts::RunCounts;
 use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
 use almondhead_lib::runs::run_id::OrderId;
 use almondhead_lib::runs::run_id::RunId;
@@ -508,6 +509,12 @@
         dispatcher.map_or(0, |dispatcher| dispatcher.status().usable_upstreams)
     }
 
+    /// What the home of an instance has decided.
+    pub fn counts(&self, node: usize) -> RunCounts {
+        let dispatcher = self.nodes[node].dispatcher.as_ref();
+        dispatcher.map_or(RunCounts::default(), |at| at.status().counts)
+    }
+
     /// The number of instances.
     pub fn nodes(&self) -> usize {
         self.nodes.len()
