--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -19,6 +19,7 @@
 use super::run_answer::JobProgress;
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
+use super::run_counts::RunCounts;
 use super::run_digest::WaitingJobs;
 use super::run_id::HomeJobKey;
 use super::run_id::JobId;
@@ -127,6 +128,7 @@
     found: IndexMap<RunId, FoundRun>,
     pub(crate) timers: TimerService<HomeTimer>,
     pub(crate) outputs: Vec<HomeOutput>,
+    pub(crate) counts: RunCounts,
     is_dirty: bool,
     /// When a stopping process gives its last answers.
     last_answers_at: Option<Timestamp>,
@@ -301,11 +303,13 @@
             RunEnd::NotStarted(reason) => self.task_not_started(now, key, task, reason),
             RunEnd::Lost { upstream } => {
                 job.tasks[task].avoid.push(upstream);
+                self.counts.started_over_lost += 1;
                 self.start_over(now, key, task);
             }
             RunEnd::TakenOver { upstream } => self.take_handed_over(now, key, task, upstream),
             RunEnd::TooSlow { work, upstream } => {
                 job.note_slow(task, work, upstream);
+                self.counts.started_over_too_slow += 1;
                 self.start_over(now, key, task);
             }
         }
@@ -344,6 +348,7 @@
         if state.failures >= most {
             return self.end_job(now, key, JobEnd::Failed);
         }
+        self.counts.started_over_failed += 1;
         self.start_over(now, key, task);
     }
 
@@ -420,6 +425,7 @@
         let age_ms = whole_ms(now.since(since));
         tracing::info!(job = %job.id, run = %job.run(task), age_ms, ?from, "run adrift");
         job.tasks[task].state = HomeState::Adrift { since, from };
+        self.counts.adrift += 1;
         let claimable_until = (since + CLAIMABLE_TIME).max(now);
         let due = claimable_until.min(now + ADRIFT_TIME);
         self.timers.subscribe(due, HomeTimer::Adrift(key));
@@ -445,6 +451,7 @@
             if ended_at <= now {
                 let age_ms = whole_ms(now.since(since));
                 tracing::info!(job = %job.id, run = %job.run(task), age_ms, "adrift run is over");
+                self.counts.started_over_adrift += 1;
                 self.start_over(now, key, task);
             } else if ended_at + job.least_run(task) > job.deadline {
                 self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::OwnerLost));
@@ -537,8 +544,10 @@
         );
         match found.end {
             // A task that is done is done, whichever attempt ran it.
-            Some(end @ RunEnd::Done { .. }) => self.end_task(now, key, task, end),
-            Some(end) if is_surely_there => self.end_task(now, key, task, end),
+            Some(end) if is_surely_there || matches!(end, RunEnd::Done { .. }) => {
+                self.counts.count_found(&end);
+                self.end_task(now, key, task, end);
+            }
             None if is_placed_at.is_none() && may_be_there => {
                 self.move_task(now, key, task, found.owner, &found.upstream);
             }
@@ -695,6 +704,7 @@
     fn restart_ended(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
         if let Some(job) = self.jobs.get_mut(key) {
             job.may_have_run = true;
+            self.counts.started_over_not_held += 1;
             self.start_over(now, key, task);
         }
     }
@@ -814,6 +824,7 @@
         let Some(job) = self.remove(key) else {
             return;
         };
+        self.counts.count_unfinished(why, now >= job.deadline);
         let answer = match why {
             Unfinished::NotRun(reason) => {
                 log_end(now, &job, &format!("not_run {reason}"));
