--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -76,13 +76,8 @@
     Heartbeat,
     Report,
     Resend,
-    /// A stopping instance that has kept its upstreams gives them up.
-    Leave,
 }
 
-/// How long before its end a stopping instance starts nothing more: most runs take less.
-const LAST_RUNS: Duration = Duration::from_millis(1_500);
-
 /// A message that found no connection.
 #[derive(Debug)]
 struct Unsent {
@@ -172,11 +167,9 @@
         self.intended.is_some() && !self.is_leaving && self.has_owner_in_reach()
     }
 
-    /// Whether nothing is open: no job here, no task held for another, no upstream that is kept
-    /// for others while this instance stops.
+    /// Whether nothing is open: no job here, no task held for another.
     pub fn is_idle(&self) -> bool {
-        let keeps_upstreams = self.is_leaving && !self.owner.is_leaving;
-        self.home.is_idle() && self.owner.is_idle() && !keeps_upstreams
+        self.home.is_idle() && self.owner.is_idle()
     }
 
     /// A reading of the state, for metrics and pages.
@@ -220,7 +213,6 @@
                 OwnTimer::Heartbeat => self.beat(),
                 OwnTimer::Report => {}
                 OwnTimer::Resend => self.resend(),
-                OwnTimer::Leave => self.leave_upstreams(),
             }
         }
     }
@@ -245,7 +237,6 @@
             RunEvent::StoreRegained => {
                 self.listing.store_regained(self.now);
                 self.roster_watch.store_regained(self.now);
-                self.leave_upstreams();
             }
             RunEvent::StoreLost => {
                 self.listing.store_lost();
@@ -265,24 +256,11 @@
         self.is_leaving = true;
         let last_answers_at = self.now + grace.saturating_sub(LAST_ANSWERS);
         self.home.stop(last_answers_at);
-        if self.listing.is_store_away() {
-            // Nobody else can own its upstreams before the roster changes.
-            let at = self.now + grace.saturating_sub(LAST_RUNS);
-            self.timers.subscribe(at, OwnTimer::Leave);
-        } else {
-            self.leave_upstreams();
-        }
+        self.owner.leave();
+        self.assign_upstreams();
         self.send_reports();
     }
 
-    /// Starts nothing more on its upstreams, where this instance is to leave.
-    fn leave_upstreams(&mut self) {
-        if self.is_leaving && !self.owner.is_leaving {
-            self.owner.leave();
-            self.assign_upstreams();
-        }
-    }
-
     fn install(&mut self, state: Arc<IntendedState>, body: Bytes) {
         let current = self.intended.as_ref().map_or(0, |state| state.version);
         if state.version <= current {
@@ -352,7 +330,7 @@
     pub(crate) fn assign_upstreams(&mut self) {
         let own = &self.settings.instance;
         let assigned = super::assignment::assigned_to(own, &self.roster, &self.listing);
-        let assigned = match self.owner.is_leaving {
+        let assigned = match self.is_leaving {
             true => Vec::new(),
             false => assigned,
         };
@@ -690,7 +668,7 @@
             services: self.owner.loads(self.now),
             waiting: self.home.waiting(),
             intended_version: self.intended.as_ref().map_or(0, |state| state.version),
-            leaving: self.owner.is_leaving,
+            leaving: self.is_leaving,
         }
     }
 
--- a/lib/src/runs/upstream_listing.rs
+++ b/lib/src/runs/upstream_listing.rs
@@ -35,11 +35,6 @@
         }
     }
 
-    /// Whether the store does not answer.
-    pub(crate) fn is_store_away(&self) -> bool {
-        self.is_store_away
-    }
-
     pub(crate) fn store_lost(&mut self) {
         self.is_store_away = true;
     }
