runs: send a message again only to the process that it was for

A message that found no connection was kept under the run of the receiver's process that was known when the failure came back, and sent again in the name of that one. Where the receiver had started again in between, its next life got what was meant for the one before, such as ends of batches of which it uses the same numbers: what naming the receiver in each message is to rule out.

Found by reading. message_to_an_earlier_life_is_not_sent_to_the_next failed before and passes now.

--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -642,7 +642,9 @@
         let Some(peer) = self.peers.by_name(instance) else {
             return;
         };
-        let sent_at = message.sent_at;
+        let TimedRunMessage {
+            receiver, sent_at, ..
+        } = message;
         match message.message {
             RunMessage::Place(batch) => {
                 let owner = OwnerRef::Peer(peer);
@@ -654,10 +656,9 @@
             | RunMessage::IntendedRequest { .. }
             | RunMessage::IntendedBody { .. } => {}
             message => {
-                let incarnation = self.peers.peers[peer].incarnation;
                 self.unsent.push(Unsent {
                     peer,
-                    incarnation,
+                    incarnation: receiver,
                     message,
                     sent_at,
                 });
--- /dev/null
+++ b/lib/tests/resent_messages.rs
@@ -0,0 +1,97 @@
+//! Messages between instances that found no connection and are sent again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondhead_lib::id::Incarnation;
+use almondhead_lib::runs::event::RunEvent;
+use almondhead_lib::runs::intended_state::IntendedState;
+use almondhead_lib::runs::roster::Member;
+use almondhead_lib::runs::roster::Roster;
+use almondhead_lib::runs::run_action::RunAction;
+use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
+use almondhead_lib::runs::run_dispatcher::RunDispatcher;
+use almondhead_lib::runs::run_message::RunMessage;
+use almondhead_lib::runs::run_message::TimedRunMessage;
+use almondhead_lib::runs::run_settings::RunLimits;
+use almondhead_lib::runs::run_settings::RunSettings;
+use almondhead_lib::time::Timestamp;
+
+const PEER: &str = "entry-b";
+const OWN: Incarnation = Incarnation(1);
+const EARLIER_LIFE: Incarnation = Incarnation(2);
+const LIFE: Incarnation = Incarnation(3);
+
+#[derive(Debug)]
+struct NoDecoder;
+
+impl IntendedDecoder for NoDecoder {
+    fn decode(&self, _: &[u8]) -> Option<IntendedState> {
+        None
+    }
+}
+
+fn member(name: &str, incarnation: Incarnation) -> Member {
+    Member {
+        name: Arc::from(name),
+        incarnation,
+        data_centre: Arc::from("a"),
+        peer_address: ([127, 0, 0, 1], 9_000).into(),
+        leaving: false,
+        row_version: 1,
+    }
+}
+
+/// An instance that knows its peer in the later of two lives.
+fn instance() -> RunDispatcher {
+    let settings = RunSettings {
+        instance: Arc::from("entry-a"),
+        data_centre: Arc::from("a"),
+        incarnation: OWN,
+        limits: RunLimits::default(),
+    };
+    let mut instance = RunDispatcher::new(settings, Box::new(NoDecoder));
+    let roster = Roster {
+        version: 1,
+        members: vec![member("entry-a", OWN), member(PEER, LIFE)],
+    };
+    let event = RunEvent::RosterRead(roster);
+    instance.handle(Timestamp::ZERO, event, &mut Vec::new());
+    instance
+}
+
+/// The lives of the peer that a cancel is sent to again which found no connection.
+fn resent_to(receiver: Incarnation) -> Vec<Incarnation> {
+    let mut instance = instance();
+    let message = TimedRunMessage {
+        receiver,
+        sent_at: Timestamp::ZERO,
+        echo: None,
+        message: RunMessage::Cancel { batches: vec![1] },
+    };
+    let event = RunEvent::PeerNotSent {
+        instance: Arc::from(PEER),
+        message: Box::new(message),
+    };
+    let mut actions = Vec::new();
+    instance.handle(Timestamp::ZERO, event, &mut actions);
+    let later = Timestamp::ZERO + Duration::from_millis(100);
+    instance.handle(later, RunEvent::Tick, &mut actions);
+    let sent = actions.into_iter().filter_map(|action| match action {
+        RunAction::SendPeer { message, .. } => Some(*message),
+        _ => None,
+    });
+    let cancels = sent.filter(|sent| matches!(sent.message, RunMessage::Cancel { .. }));
+    cancels.map(|sent| sent.receiver).collect()
+}
+
+#[test]
+fn message_to_a_living_process_is_sent_again() {
+    assert_eq!(resent_to(LIFE), [LIFE]);
+}
+
+/// Guards against a message to an earlier life of an instance that is sent again to the next one.
+#[test]
+fn message_to_an_earlier_life_is_not_sent_to_the_next() {
+    assert_eq!(resent_to(EARLIER_LIFE), []);
+}
