--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -80,7 +80,9 @@
 /// The faults of orders from instances to upstreams.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OrderFault {
-    /// The percentage of orders that are executed seconds late and whose answer is lost.
+    /// The percentage of orders that are executed seconds late and whose answer is lost. The
+    /// upstream's process or a connection to it holds such an order, so that it is lost when the
+    /// upstream restarts.
     pub late_percent: u32,
     /// The percentage of orders that are executed without delay but whose answer is lost.
     pub unanswered_percent: u32,
@@ -130,6 +132,9 @@
         upstream: usize,
         run_order: RunOrder,
         is_answered: bool,
+        /// The incarnation of the upstream that holds the order and executes it late; none for an
+        /// order that is executed without delay.
+        held_by: Option<u64>,
     },
     /// Reports an order as lost if it has not been answered by now.
     OrderTimeout {
@@ -648,7 +653,13 @@
                 upstream,
                 run_order,
                 is_answered,
-            } => self.execute_order(node, incarnation, order, upstream, &run_order, is_answered),
+                held_by,
+            } => {
+                let current = self.upstreams[upstream].incarnation;
+                if held_by.is_none_or(|holder| holder == current) {
+                    self.execute_order(node, incarnation, order, upstream, &run_order, is_answered);
+                }
+            }
             ScheduledEvent::OrderTimeout {
                 node,
                 incarnation,
@@ -819,10 +830,12 @@
         let draw = self.random_below(100);
         let late = u64::from(self.order_fault.late_percent);
         let unanswered = late + u64::from(self.order_fault.unanswered_percent);
-        let delay = match draw < late {
+        let is_late = draw < late;
+        let delay = match is_late {
             true => Duration::from_millis(2_000 + self.random_below(8_000)),
             false => ORDER_DELAY,
         };
+        let held_by = is_late.then_some(self.upstreams[upstream].incarnation);
         let path = self.upstream_paths.get(&(node, upstream));
         if path == Some(&PathLoss::Orders) {
             return;
@@ -835,6 +848,7 @@
             upstream,
             run_order,
             is_answered,
+            held_by,
         };
         self.schedule(delay, order);
     }
--- a/lib/testsupport/src/run_site/upstream.rs
+++ b/lib/testsupport/src/run_site/upstream.rs
@@ -72,6 +72,8 @@
     pub(super) renews: Vec<WaitingRenew>,
     /// The number of runs started so far.
     pub(super) starts: u64,
+    /// The number of restarts so far.
+    pub(super) incarnation: u64,
     /// When the current incarnation started, in the site's time.
     started_at: Timestamp,
     /// What the upstream's own clock showed at `started_at`.
@@ -106,6 +108,7 @@
             newest_ended: IndexMap::new(),
             renews: Vec::new(),
             starts: 0,
+            incarnation: 0,
             started_at: Timestamp::ZERO,
             clock_offset_ms: CLOCK_OFFSET_MS,
         }
@@ -274,6 +277,7 @@
 
     /// Starts a new incarnation without any state, whose clock begins at zero.
     pub(super) fn reset(&mut self, now: Timestamp) {
+        self.incarnation += 1;
         self.started_at = now;
         self.clock_offset_ms = 0;
         self.runs.clear();
