runs: do not extend leases of runs that no home has claimed

A new owner renewed the leases on its upstream while it asked homes to claim the runs there, for 250 ms until it stopped the unclaimed ones.

While no run there is claimed, renew orders extend no lease, so that an unclaimed run ends with the last lease that its own owner ordered, however many owners follow. The first claim extends the lease at once.

Where a claimed run shares the upstream with an unclaimed one, an owner still renews both for up to 250 ms.

--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -79,6 +79,8 @@
     pub(crate) has_missed_renew: bool,
     /// Whether a renew order is unanswered so far.
     pub(crate) is_renew_pending: bool,
+    /// Whether the last renew order extended no lease because no home had claimed a run.
+    pub(crate) awaits_claim: bool,
 }
 
 impl LeasedUpstream {
@@ -101,6 +103,7 @@
             last_report_at: Timestamp::ZERO,
             has_missed_renew: false,
             is_renew_pending: false,
+            awaits_claim: false,
         }
     }
 
@@ -150,6 +153,14 @@
         Some(until_ms)
     }
 
+    /// Whether runs of earlier owners go on there and no home has claimed one of them.
+    ///
+    /// Their lease must not be extended: their homes may have ended, and an owner that renews the
+    /// lease until it stops them may be followed by another one that does the same.
+    pub(crate) fn has_only_unclaimed_runs(&self) -> bool {
+        self.runs.is_empty() && !self.unclaimed_runs.is_empty()
+    }
+
     /// Remembers the end of a run that this instance did not order, and forgets the oldest one beyond
     /// the maximum.
     pub(crate) fn record_unclaimed_end(&mut self, run: RunId, how: RunOutcome) {
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -400,7 +400,8 @@
             since_order: OrderId(self.next_order_id),
         };
         upstream.runs.insert(run, leased);
-        tracing::info!(run = %run, upstream = id, "run adopted");
+        tracing::info!(job = %run.task.job, run = %run, upstream = id, "run adopted");
+        self.extend_claimed_lease(now, upstream_key);
         true
     }
 
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -392,13 +392,17 @@
         upstream.is_renew_pending = true;
         let wait = match upstream.contact {
             Contact::Reachable if upstream.has_missed_renew => Duration::ZERO,
+            Contact::Reachable if upstream.has_only_unclaimed_runs() => BUSY_RENEW_WAIT,
             Contact::Reachable if upstream.runs.is_empty() => IDLE_RENEW_WAIT,
             Contact::Reachable => BUSY_RENEW_WAIT,
             _ => Duration::ZERO,
         };
+        upstream.awaits_claim = upstream.has_only_unclaimed_runs();
         // Leases are not renewed on an upstream that does not answer, so that they expire in time.
         let lease_until_ms = match upstream.contact {
-            Contact::Reachable if !upstream.has_missed_renew => upstream.extend_lease(now, lease),
+            Contact::Reachable if !upstream.has_missed_renew && !upstream.awaits_claim => {
+                upstream.extend_lease(now, lease)
+            }
             _ => None,
         };
         let order = RunOrder::Renew {
@@ -412,11 +416,32 @@
 
     /// Polls an upstream for an immediate report, beside a waiting renew order.
     fn probe(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
+        self.send_probe(now, upstream_key, None);
+    }
+
+    /// Extends the leases on an upstream where a home has claimed the first run, if the renew order
+    /// that is waiting did not.
+    pub(crate) fn extend_claimed_lease(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
+        let lease = self.lease;
+        let upstream = &mut self.upstreams[upstream_key];
+        if !std::mem::take(&mut upstream.awaits_claim) {
+            return;
+        }
+        let lease_until_ms = upstream.extend_lease(now, lease);
+        self.send_probe(now, upstream_key, lease_until_ms);
+    }
+
+    fn send_probe(
+        &mut self,
+        now: Timestamp,
+        upstream_key: LeasedUpstreamKey,
+        lease_until_ms: Option<u64>,
+    ) {
         let Some(upstream) = self.upstreams.get(upstream_key) else {
             return;
         };
         let order = RunOrder::Renew {
-            lease_until_ms: None,
+            lease_until_ms,
             fence: upstream.fence,
             acknowledged_end: upstream.acknowledged_end,
             wait: Duration::ZERO,
