runs: after a pause, read before acting; judge progress by the upstream's clock

Besides, everything that had waited for the thaw was dated by the time it was read: runs of 350 ms counted as 1.3 s and their upstreams as up to 34 times slower, runs were stopped as crawling, and leases were ordered on a clock that was a second behind, so that new runs lapsed after 70 ms.

Class: news that is read late is taken for news that is late.

- PauseGuard: no event for 300 ms means a pause; nothing is placed or started for the next 50 ms.
- Runs are judged by the upstream's clock in starts' answers and reports: progress, run time, exactness of an end.
- The clock for leases keeps the reading that proves most.
Expiry of leases still goes by the last reading, which is the cautious side.

The simulated site now tells a thawed instance 2 ms late that callers have left, as the real process learns it.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -24,6 +24,7 @@
 mod owner;
 mod owner_answers;
 mod owner_choice;
+mod pause_guard;
 mod peer_table;
 mod placing;
 mod requesting;
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -1,4 +1,7 @@
 //! The state of a run on an upstream that this instance owns, and the predictions from its progress.
+//!
+//! Progress is judged by the upstream's clock alone: reports may wait on a slow link or while this
+//! process is paused, and a run must not look slow because news of it is.
 
 use std::time::Duration;
 
@@ -6,6 +9,7 @@
 use super::resources::Resources;
 use super::run_id::HeldBatchKey;
 use super::run_id::OrderId;
+use super::whole_ms::whole_ms;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
 
@@ -37,6 +41,9 @@
     pub(crate) task: Option<(HeldBatchKey, TaskIndex)>,
     /// The home and the number of its batch, once that was dropped.
     pub(crate) dropped_batch: Option<(Incarnation, u64)>,
+    /// Whether its upstream has restarted since its start was ordered: although the next incarnation
+    /// does not list it, it may have run in the one before.
+    pub(crate) has_seen_restart: bool,
     /// The capacity that it takes up.
     pub(crate) resources: Resources,
     pub(crate) phase: RunPhase,
@@ -45,8 +52,12 @@
     pub(crate) expected_run_time: Duration,
     /// How much of its work is done, rounded down.
     pub(crate) percent: u8,
-    /// When its progress last changed.
-    pub(crate) progressed_at: Timestamp,
+    /// The first progress known of it: none at its start, more if it was first heard of later.
+    first_percent: u8,
+    /// When that was, on the upstream's clock; none before its start is confirmed.
+    first_clock_ms: Option<u64>,
+    /// When its progress last changed, on the upstream's clock.
+    progressed_clock_ms: u64,
     /// Its predicted run time on an upstream of usual speed; set when it is stopped as too slow.
     pub(crate) predicted_work: Option<Duration>,
 }
@@ -108,69 +119,102 @@
         LeasedRun {
             task: Some(task),
             dropped_batch: None,
+            has_seen_restart: false,
             resources,
             phase: RunPhase::Starting,
             ordered_at: now,
             expected_run_time,
             percent: 0,
-            progressed_at: now,
+            first_percent: 0,
+            first_clock_ms: None,
+            progressed_clock_ms: 0,
             predicted_work: None,
         }
     }
 
-    /// Records that a report lists it as running with this progress; `since_order` is the next order.
-    pub(crate) fn record_progress(&mut self, now: Timestamp, since_order: OrderId, percent: u8) {
+    /// Records that its start was answered when the upstream's clock showed `clock_ms`.
+    pub(crate) fn record_start(&mut self, clock_ms: u64) {
+        if self.first_clock_ms.is_none() {
+            self.first_clock_ms = Some(clock_ms);
+            self.progressed_clock_ms = clock_ms;
+        }
+    }
+
+    /// Records that a report of this time on the upstream's clock lists it as running with this
+    /// progress; `since_order` is the next order.
+    pub(crate) fn record_progress(&mut self, clock_ms: u64, since_order: OrderId, percent: u8) {
+        if self.first_clock_ms.is_none() {
+            self.first_percent = percent;
+            self.record_start(clock_ms);
+        }
         if percent != self.percent {
             self.percent = percent;
-            self.progressed_at = now;
+            self.progressed_clock_ms = clock_ms;
         }
         if let RunPhase::Starting | RunPhase::Uncertain { .. } = self.phase {
             self.phase = RunPhase::Active { since_order };
         }
     }
 
-    /// When it will end if it goes on as before; none while it has too little progress.
-    pub(crate) fn predicted_end(&self, now: Timestamp) -> Option<Timestamp> {
-        if self.percent < MIN_PROGRESS_PERCENT {
+    /// How long it has run at a time on the upstream's clock; zero before its start is confirmed.
+    pub(crate) fn run_time_at(&self, clock_ms: u64) -> Duration {
+        let first_ms = self.first_clock_ms.unwrap_or(clock_ms);
+        Duration::from_millis(clock_ms.saturating_sub(first_ms))
+    }
+
+    /// Its whole run time if it ended at a time on the upstream's clock; none where its start was not
+    /// confirmed.
+    pub(crate) fn whole_run_time_at(&self, clock_ms: u64) -> Option<Duration> {
+        let is_known = self.first_clock_ms.is_some() && self.first_percent == 0;
+        is_known.then(|| self.run_time_at(clock_ms))
+    }
+
+    /// When it will end on the upstream's clock if it goes on as before; none while it has shown too
+    /// little progress.
+    pub(crate) fn predicted_end_ms(&self) -> Option<u64> {
+        if self.percent < self.first_percent.saturating_add(MIN_PROGRESS_PERCENT) {
             return None;
         }
-        // Without progress since the last report it ends later still.
-        let at_least = self.ordered_at + self.predicted_run_time();
-        Some(at_least.max(now))
+        let left_percent = 99_u32.saturating_sub(u32::from(self.percent));
+        let left = self.predicted_run_time() * left_percent / 100;
+        Some(self.progressed_clock_ms.saturating_add(whole_ms(left)))
     }
 
     /// Its whole run time if it goes on as before.
     pub(crate) fn predicted_run_time(&self) -> Duration {
-        let elapsed = self.progressed_at.since(self.ordered_at);
+        let elapsed = self.run_time_at(self.progressed_clock_ms);
         // The percentage is rounded down.
-        elapsed * 100 / (u32::from(self.percent) + 1)
+        elapsed * 100 / (u32::from(self.percent.saturating_sub(self.first_percent)) + 1)
     }
 
-    /// Whether it runs so slowly that its upstream must have become slow, and has enough left for a
-    /// retry elsewhere to end sooner.
-    pub(crate) fn is_crawling(&self, now: Timestamp) -> bool {
+    /// Whether a report of this time on the upstream's clock shows that it runs so slowly that its
+    /// upstream must have become slow, and that a retry elsewhere would end sooner.
+    pub(crate) fn is_crawling(&self, clock_ms: u64) -> bool {
         let RunPhase::Active { .. } = self.phase else {
             return false;
         };
-        let Some(end) = self.predicted_end(now) else {
+        let Some(end_ms) = self.predicted_end_ms() else {
             return false;
         };
-        let left = end.since(now);
-        let whole = end.since(self.ordered_at);
+        // Without progress since the last report it ends later still.
+        let left = Duration::from_millis(end_ms.saturating_sub(clock_ms));
+        let whole = self.predicted_run_time().max(self.run_time_at(clock_ms));
         whole > self.expected_run_time * CRAWLING_FACTOR
             && left > self.expected_run_time + MIN_RESTART_GAIN
     }
 
-    /// Whether it has made no progress for longer than a healthy run could.
-    pub(crate) fn is_stalled(&self, now: Timestamp) -> bool {
+    /// Whether a report of this time on the upstream's clock shows that it has made no progress for
+    /// longer than a healthy run could.
+    pub(crate) fn is_stalled(&self, clock_ms: u64) -> bool {
         let RunPhase::Active { .. } = self.phase else {
             return false;
         };
-        let since_start = now.since(self.ordered_at);
+        let run_time = self.run_time_at(clock_ms);
         let ran_too_long =
-            since_start > self.expected_run_time * STALLED_RUN_FACTOR || self.percent == 0;
+            run_time > self.expected_run_time * STALLED_RUN_FACTOR || self.percent == 0;
+        let unchanged_ms = clock_ms.saturating_sub(self.progressed_clock_ms);
         ran_too_long
-            && since_start > self.expected_run_time
-            && now.since(self.progressed_at) >= STALLED_AFTER
+            && run_time > self.expected_run_time
+            && Duration::from_millis(unchanged_ms) >= STALLED_AFTER
     }
 }
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -25,6 +25,10 @@
 /// restart of the upstream raises it by one, up to the last.
 const FENCES_PER_VERSION: u64 = 256;
 
+/// The maximum time between an upstream's previous report and the sending of the order whose answer
+/// lists an end, for the end's time to count as exact: in between no order waits for ends.
+const MAX_EXACT_END_GAP: Duration = Duration::from_millis(20);
+
 /// Whether an upstream answers its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Contact {
@@ -57,8 +61,11 @@
     /// Whether it is no longer assigned to this instance, so that nothing new starts there.
     pub(crate) is_released: bool,
     pub(crate) contact: Contact,
-    /// The last reading of its clock; none before its first answer.
+    /// The last reading of its clock, for when leases have expired; none before its first answer.
     pub(crate) clock: Option<UpstreamClock>,
+    /// The reading that shows how far its clock is, for the leases to order. Too high a reading does
+    /// no harm: an upstream grants no lease longer than the maximum.
+    pub(crate) furthest_clock: Option<UpstreamClock>,
     /// When its current incarnation began, where it reports that.
     pub(crate) born_unix_ms: Option<u64>,
     /// The number of the last end that was handled.
@@ -75,6 +82,8 @@
     pub(crate) speed: LearnedSpeed,
     /// When its last report arrived.
     pub(crate) last_report_at: Timestamp,
+    /// What its clock showed in that report, in milliseconds.
+    pub(crate) last_report_clock_ms: u64,
     /// Whether a renew order stayed unanswered since the last report.
     pub(crate) has_missed_renew: bool,
     /// Whether a renew order is unanswered so far.
@@ -92,6 +101,7 @@
             is_released: false,
             contact: Contact::TakingOver,
             clock: None,
+            furthest_clock: None,
             born_unix_ms: None,
             acknowledged_end: 0,
             lease_until_ms: 0,
@@ -101,6 +111,7 @@
             health: UpstreamHealth::default(),
             speed: LearnedSpeed::default(),
             last_report_at: Timestamp::ZERO,
+            last_report_clock_ms: 0,
             has_missed_renew: false,
             is_renew_pending: false,
             awaits_claim: false,
@@ -139,6 +150,26 @@
         self.contact == Contact::Reachable && !self.is_released && !self.listed.draining
     }
 
+    /// Records a reading of its clock.
+    pub(crate) fn record_clock(&mut self, clock_ms: u64, now: Timestamp) {
+        let reading = UpstreamClock::new(clock_ms, now);
+        self.clock = Some(reading);
+        let furthest = self.furthest_clock.map(|clock| clock.latest(reading));
+        self.furthest_clock = Some(furthest.unwrap_or(reading));
+    }
+
+    /// Whether a run that ended after the last report ended when the clock showed `clock_ms`, as a
+    /// report says that answers an order sent at `sent_at` and arrives now.
+    ///
+    /// A waiting order is answered as soon as a run ends. The order must have been sent soon after the
+    /// last report, which must not have been read late itself.
+    pub(crate) fn is_exact_end(&self, now: Timestamp, sent_at: Timestamp, clock_ms: u64) -> bool {
+        let clock_gap_ms = clock_ms.saturating_sub(self.last_report_clock_ms);
+        let own_gap_ms = whole_ms(now.since(self.last_report_at));
+        sent_at.since(self.last_report_at) <= MAX_EXACT_END_GAP
+            && clock_gap_ms <= own_gap_ms + whole_ms(MAX_EXACT_END_GAP)
+    }
+
     /// When all its leases must have expired if no further order is sent; none without a clock reading.
     pub(crate) fn leases_expire_at(&self) -> Option<Timestamp> {
         self.clock
@@ -148,7 +179,8 @@
     /// Records a lease from now on and returns its end on the upstream's clock, in milliseconds; none
     /// without a clock reading.
     pub(crate) fn extend_lease(&mut self, now: Timestamp, lease: Duration) -> Option<u64> {
-        let until_ms = self.clock?.estimate_ms(now).saturating_add(whole_ms(lease));
+        let clock = self.furthest_clock?;
+        let until_ms = clock.estimate_ms(now).saturating_add(whole_ms(lease));
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
         Some(until_ms)
     }
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -23,14 +23,12 @@
 use super::run_message::FoundEnd;
 use super::run_message::NotStarted;
 use super::run_message::RunEnd;
-use super::run_order::EndedRow;
 use super::run_order::OrderAnswer;
 use super::run_order::OrderRefusal;
 use super::run_order::RenewReport;
 use super::run_order::RunOrder;
 use super::run_order::RunOutcome;
 use super::run_order::RunningRow;
-use super::upstream_clock::UpstreamClock;
 use super::whole_ms::whole_ms;
 use crate::health::HealthChange;
 use crate::time::Timestamp;
@@ -75,10 +73,6 @@
 /// A message and its answer take a few milliseconds, at a busy instance some tens.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The maximum time between an upstream's previous report and the sending of the order whose answer
-/// lists an end, for the end's time to count as exact: in between no order waits for ends.
-const MAX_EXACT_END_GAP: Duration = Duration::from_millis(20);
-
 /// The renew order that a report answers.
 #[derive(Clone, Copy, Debug)]
 struct AnsweredOrder {
@@ -155,7 +149,7 @@
             _ => None,
         };
         if let Some(clock_ms) = clock_ms {
-            self.upstreams[upstream_key].clock = Some(UpstreamClock::new(clock_ms, now));
+            self.upstreams[upstream_key].record_clock(clock_ms, now);
         }
     }
 
@@ -172,6 +166,12 @@
         };
         match answer {
             OrderAnswer::Done { .. } | OrderAnswer::Renewed(_) => {
+                if let OrderAnswer::Done {
+                    clock_ms: Some(clock_ms),
+                } = answer
+                {
+                    leased.record_start(clock_ms);
+                }
                 if leased.phase == RunPhase::Starting {
                     leased.phase = RunPhase::Active { since_order };
                     if leased.expected_run_time >= MIN_EARLY_PROBE_RUN_TIME {
@@ -465,23 +465,23 @@
         }
         let upstream = &mut self.upstreams[upstream_key];
         upstream.born_unix_ms = report.born_unix_ms.or(upstream.born_unix_ms);
-        upstream.clock = Some(UpstreamClock::new(report.clock_ms, now));
+        upstream.record_clock(report.clock_ms, now);
         if upstream.contact == Contact::TakingOver {
             // Earlier leases were granted on another clock or by another owner. None ends later
             // than a full lease from now.
             upstream.lease_until_ms = report.clock_ms.saturating_add(whole_ms(lease));
         }
         upstream.has_missed_renew = false;
-        // A waiting order is answered as soon as a run ends.
-        let is_exact = answered.sent_at.since(upstream.last_report_at) <= MAX_EXACT_END_GAP;
+        let is_exact = upstream.is_exact_end(now, answered.sent_at, report.clock_ms);
+        upstream.last_report_clock_ms = report.clock_ms;
         upstream.last_report_at = now;
         if upstream.contact != Contact::Reachable {
             tracing::info!(upstream = %upstream.listed.id, "upstream reachable");
             upstream.contact = Contact::Reachable;
             self.mark_dirty();
         }
-        let (has_new_ends, found) = self.apply_ends(now, upstream_key, is_exact, &report.ended);
-        self.apply_running(now, upstream_key, answered, &report.running);
+        let (has_new_ends, found) = self.apply_ends(now, upstream_key, is_exact, &report);
+        self.apply_running(now, upstream_key, answered, &report);
         self.handle_vanished_runs(now, upstream_key, answered, &report.running);
         self.announce_unclaimed_runs(now, upstream_key, answered, is_first_report, found);
         self.drop_if_released(upstream_key);
@@ -495,11 +495,11 @@
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
         is_exact: bool,
-        ended: &[EndedRow],
+        report: &RenewReport,
     ) -> (bool, Vec<FoundEnd>) {
         let mut has_new_ends = false;
         let mut found = Vec::new();
-        for row in ended {
+        for row in &report.ended {
             let upstream = &mut self.upstreams[upstream_key];
             if row.number <= upstream.acknowledged_end {
                 continue;
@@ -511,7 +511,8 @@
             };
             upstream.unclaimed_runs.swap_remove(&run);
             if upstream.runs.contains_key(&run) {
-                self.end_run(now, upstream_key, run, row.how, is_exact);
+                let clock_ms = is_exact.then_some(report.clock_ms);
+                self.end_run(now, upstream_key, run, row.how, clock_ms);
             } else {
                 upstream.record_unclaimed_end(run, row.how);
                 found.push(FoundEnd {
@@ -524,34 +525,38 @@
         (has_new_ends, found)
     }
 
+    /// Handles the end of a run; `ended_clock_ms` is the time of it on the upstream's clock, where
+    /// that is known.
     fn end_run(
         &mut self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
         run: RunId,
         how: RunOutcome,
-        is_exact: bool,
+        ended_clock_ms: Option<u64>,
     ) {
         let upstream = &mut self.upstreams[upstream_key];
         let Some(leased) = upstream.runs.swap_remove(&run) else {
             return;
         };
         let id = upstream.listed.id.clone();
+        let run_time = ended_clock_ms.and_then(|clock_ms| leased.whole_run_time_at(clock_ms));
         let took = now.since(leased.ordered_at);
         tracing::info!(
             job = %run.task.job, run = %run, upstream = %id, how = %how,
-            took_ms = whole_ms(took), expected_ms = whole_ms(leased.expected_run_time),
+            took_ms = whole_ms(took), run_ms = run_time.map(whole_ms),
+            expected_ms = whole_ms(leased.expected_run_time),
             "run ended"
         );
         let end = match how {
             RunOutcome::Done => {
                 // Every end triggers a pass through the queue, whether or not it restored the upstream.
                 let _ = upstream.health.on_success(now);
-                let work = match is_exact {
-                    true => took.div_f64(upstream.speed.slowness()),
-                    false => Duration::ZERO,
-                };
-                RunEnd::Done { work }
+                let slowness = upstream.speed.slowness();
+                let work = run_time.map(|run_time| run_time.div_f64(slowness));
+                RunEnd::Done {
+                    work: work.unwrap_or_default(),
+                }
             }
             RunOutcome::Failed => {
                 if leased.task.is_some() {
@@ -568,8 +573,8 @@
         };
         self.mark_dirty();
         if let Some((batch_key, task)) = leased.task {
-            if how == RunOutcome::Done && is_exact {
-                self.learn_speeds(upstream_key, batch_key, task, took);
+            if let Some(run_time) = run_time.filter(|_| how == RunOutcome::Done) {
+                self.learn_speeds(upstream_key, batch_key, task, run_time);
             }
             self.report(batch_key, task, end);
         }
@@ -580,18 +585,26 @@
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
         answered: AnsweredOrder,
-        running: &[RunningRow],
+        report: &RenewReport,
     ) {
+        let RenewReport {
+            clock_ms, running, ..
+        } = report;
         let mut infeasible = Vec::new();
         let next_order = self.next_order_id();
         let upstream = &mut self.upstreams[upstream_key];
+        let clock = upstream.furthest_clock;
         for row in running {
             match upstream.runs.get_mut(&row.run) {
                 Some(leased) => {
-                    leased.record_progress(now, next_order, row.percent);
-                    let deadline = leased.task.and_then(|(batch, _)| self.batches.get(batch));
-                    let deadline = deadline.map(|batch| batch.deadline);
-                    if let Some(reason) = reason_to_stop(leased, now, deadline) {
+                    leased.record_progress(*clock_ms, next_order, row.percent);
+                    let batch = leased.task.and_then(|(batch, _)| self.batches.get(batch));
+                    let ends_at = leased.predicted_end_ms().zip(clock);
+                    let ends_at = ends_at.map(|(end_ms, clock)| clock.reached_at(end_ms).max(now));
+                    let is_too_late = batch
+                        .zip(ends_at)
+                        .is_some_and(|(batch, ends_at)| ends_at > batch.deadline);
+                    if let Some(reason) = reason_to_stop(leased, *clock_ms, is_too_late) {
                         infeasible.push((row.run, reason));
                     }
                 }
@@ -661,9 +674,10 @@
         let is_listed = |run: &RunId| running.iter().any(|row| row.run == *run);
         let upstream = &self.upstreams[upstream_key];
         let missing = upstream.runs.iter().filter(|(run, _)| !is_listed(run));
-        let missing: Vec<(RunId, RunPhase)> =
-            missing.map(|(run, leased)| (*run, leased.phase)).collect();
-        for (run, phase) in missing {
+        let missing: Vec<(RunId, RunPhase, bool)> = missing
+            .map(|(run, leased)| (*run, leased.phase, leased.has_seen_restart))
+            .collect();
+        for (run, phase, has_seen_restart) in missing {
             match phase {
                 RunPhase::Active { since_order } if answered.order >= since_order => {
                     self.on_run_lost(upstream_key, run, "vanished");
@@ -675,7 +689,9 @@
                     reason,
                     acknowledged: Some(since_order),
                 } if answered.order >= since_order => match reason {
-                    StopReason::Uncertain => self.withdraw_start(upstream_key, run),
+                    StopReason::Uncertain if !has_seen_restart => {
+                        self.withdraw_start(upstream_key, run);
+                    }
                     _ => self.on_run_lost(upstream_key, run, "stopped"),
                 },
                 _ => {}
@@ -822,9 +838,13 @@
         upstream.born_unix_ms = born_unix_ms;
         upstream.raise_fence();
         upstream.acknowledged_end = 0;
+        upstream.furthest_clock = None;
         upstream.contact = Contact::TakingOver;
         upstream.unclaimed_runs.clear();
         upstream.unclaimed_ends.clear();
+        for leased in upstream.runs.values_mut() {
+            leased.has_seen_restart = true;
+        }
     }
 
     /// Handles an upstream at whose address another one answers: all its runs are lost.
@@ -960,21 +980,15 @@
     }
 }
 
-/// Why a run that is listed as running should be stopped; none when it should go on.
-fn reason_to_stop(
-    leased: &LeasedRun,
-    now: Timestamp,
-    deadline: Option<Timestamp>,
-) -> Option<StopReason> {
-    if leased.is_stalled(now) {
+/// Why a run that a report of this time on the upstream's clock lists as running should be stopped;
+/// none when it should go on. `is_too_late` tells whether it is predicted to end after its deadline.
+fn reason_to_stop(leased: &LeasedRun, clock_ms: u64, is_too_late: bool) -> Option<StopReason> {
+    if leased.is_stalled(clock_ms) {
         return Some(StopReason::Stalled);
     }
-    if leased.is_crawling(now) {
+    if leased.is_crawling(clock_ms) {
         return Some(StopReason::Crawling);
     }
-    let RunPhase::Active { .. } = leased.phase else {
-        return None;
-    };
-    let end = leased.predicted_end(now)?;
-    (end > deadline?).then_some(StopReason::TooLong)
+    let is_active = matches!(leased.phase, RunPhase::Active { .. });
+    (is_active && is_too_late).then_some(StopReason::TooLong)
 }
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -15,6 +15,7 @@
 use super::owner::Owner;
 use super::owner::OwnerNotice;
 use super::owner_choice::OwnerRef;
+use super::pause_guard::PauseGuard;
 use super::peer_table::Freshness;
 use super::peer_table::PEER_TIMEOUT;
 use super::peer_table::PeerTable;
@@ -78,6 +79,7 @@
     Heartbeat,
     Report,
     Resend,
+    CaughtUp,
 }
 
 /// A message that found no connection and is to be sent again.
@@ -109,6 +111,7 @@
     pub(crate) roster: Roster,
     pub(crate) roster_watch: super::roster_watch::RosterWatch,
     timers: TimerService<DispatcherTimer>,
+    pause_guard: PauseGuard,
     unsent: Vec<UnsentMessage>,
     /// The instances with which this one exchanges heartbeats.
     neighbours: Vec<Arc<str>>,
@@ -139,6 +142,7 @@
             roster: Roster::default(),
             roster_watch: super::roster_watch::RosterWatch::default(),
             timers,
+            pause_guard: PauseGuard::default(),
             unsent: Vec::new(),
             neighbours: Vec::new(),
             is_leaving: false,
@@ -153,6 +157,7 @@
     /// `now` must not be earlier than in the previous call.
     pub fn handle(&mut self, now: Timestamp, event: RunEvent, actions: &mut Vec<RunAction>) {
         self.now = now.max(self.now);
+        self.check_pause();
         self.run_timers();
         self.handle_event(event);
         self.process_outputs();
@@ -213,6 +218,15 @@
             || reachable.any(|peer| !peer.digest.services.is_empty())
     }
 
+    /// Starts to catch up if the process was paused until now.
+    fn check_pause(&mut self) {
+        let Some(until) = self.pause_guard.record_event(self.now) else {
+            return;
+        };
+        tracing::warn!("process was paused: starting nothing until it has caught up");
+        self.timers.subscribe(until, DispatcherTimer::CaughtUp);
+    }
+
     fn run_timers(&mut self) {
         self.owner.run_timers(self.now);
         self.home.run_timers(self.now);
@@ -221,6 +235,10 @@
                 DispatcherTimer::Heartbeat => self.on_heartbeat_due(),
                 DispatcherTimer::Report => {}
                 DispatcherTimer::Resend => self.resend_unsent(),
+                DispatcherTimer::CaughtUp => {
+                    self.home.mark_dirty();
+                    self.owner.mark_dirty();
+                }
             }
         }
     }
@@ -452,10 +470,15 @@
 
     /// Carries out the outputs of home and owner until neither produces more.
     fn process_outputs(&mut self) {
+        let may_start = !self.pause_guard.is_catching_up(self.now);
         loop {
-            self.place_waiting();
+            if may_start {
+                self.place_waiting();
+            }
             let outputs = std::mem::take(&mut self.home.outputs);
-            self.owner.start_queued(self.now);
+            if may_start {
+                self.owner.start_queued(self.now);
+            }
             let notices = std::mem::take(&mut self.owner.notices);
             if outputs.is_empty() && notices.is_empty() {
                 break;
--- a/lib/src/runs/upstream_clock.rs
+++ b/lib/src/runs/upstream_clock.rs
@@ -31,6 +31,23 @@
             .saturating_add(whole_ms(now.since(self.read_at)))
     }
 
+    /// The reading of the two that arrived later, unless this one proves that the clock is further on
+    /// than the later one says: an answer that waited to be read shows a time that has passed.
+    pub fn latest(self, later: UpstreamClock) -> UpstreamClock {
+        let elapsed_ms = whole_ms(later.read_at.since(self.read_at));
+        let slowest_ms = elapsed_ms - elapsed_ms * MAX_DRIFT_PER_MILLE / 1_000;
+        match later.read_ms < self.read_ms.saturating_add(slowest_ms) {
+            true => self,
+            false => later,
+        }
+    }
+
+    /// When the clock comes to show `clock_ms` if it runs as fast as this instance's; the time of the
+    /// reading for a time before that.
+    pub fn reached_at(&self, clock_ms: u64) -> Timestamp {
+        self.read_at + Duration::from_millis(clock_ms.saturating_sub(self.read_ms))
+    }
+
     /// Whether the clock must show more than `clock_ms` by now, even at the slowest rate.
     pub fn has_certainly_passed(&self, now: Timestamp, clock_ms: u64) -> bool {
         self.certainly_passed_at(clock_ms) <= now
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -209,6 +209,9 @@
 /// How long after the start of a process its connections to and from other instances are
 /// established.
 const CONNECT_DELAY: Duration = Duration::from_millis(20);
+/// How long after it was thawed an instance reads that callers have left: each connection is polled
+/// by a task of its own.
+const DISCONNECT_READ_DELAY: Duration = Duration::from_millis(2);
 /// How often an instance reads the roster and the list of upstreams. The real process reads the
 /// roster at this interval, and the list every 500 ms.
 const STORE_READ_INTERVAL: Duration = Duration::from_millis(550);
@@ -378,6 +381,9 @@
     }
 
     /// Thaws a frozen instance, which then handles the events that were kept.
+    ///
+    /// It reads the messages of other instances and the answers to its orders first. It learns
+    /// [`DISCONNECT_READ_DELAY`] later that callers have left.
     pub fn thaw(&mut self, node: usize) {
         self.nodes[node].is_frozen = false;
         let events = std::mem::take(&mut self.nodes[node].frozen_events);
@@ -386,12 +392,20 @@
             _ => None,
         });
         let dropped: IndexSet<RequestId> = dropped.collect();
+        let incarnation = self.nodes[node].incarnation;
         for event in events {
-            // The real process sees that a connection has ended before it delivers its request.
-            let is_ended =
-                matches!(&event, RunEvent::Requested { request, .. } if dropped.contains(request));
-            if !is_ended {
-                self.deliver(node, event);
+            match &event {
+                // The real process sees that a connection has ended before it delivers its request.
+                RunEvent::Requested { request, .. } if dropped.contains(request) => {}
+                RunEvent::RequestDropped { .. } => self.schedule(
+                    DISCONNECT_READ_DELAY,
+                    ScheduledEvent::Event {
+                        node,
+                        incarnation,
+                        event,
+                    },
+                ),
+                _ => self.deliver(node, event),
             }
         }
         self.deliver(node, RunEvent::Tick);
