--- a/lib/tests/lost_orders.rs
+++ b/lib/tests/lost_orders.rs
@@ -194,3 +194,30 @@
     let answer = site.answer("00000000000000aa").expect("an answer");
     assert_eq!(answer.answer, RunAnswer::Ended(JobEnd::Completed));
 }
+
+/// Guards against a job being answered as not run whose task started without an answer and ended with
+/// a restart of its upstream.
+#[test]
+fn start_on_an_upstream_that_restarts_at_once_may_have_run() {
+    let mut site = RunSite::start(&SitePlan::new(1, 1, 2));
+    site.run_ms(1_000);
+    site.set_order_fault(OrderFault {
+        late_percent: 0,
+        unanswered_percent: 100,
+    });
+    let id = "00000000000000aa";
+    site.submit(0, "look", id, &run_job(1, 6_800, 300));
+    site.run_ms(20);
+    for upstream in 0..2 {
+        site.restart_upstream(upstream);
+    }
+    site.set_order_fault(OrderFault::default());
+    site.run_ms(100);
+    // No other upstream takes the task, so that its job is answered unfinished.
+    for upstream in 0..2 {
+        site.drain_upstream(upstream);
+    }
+    site.run_ms(2_000);
+    assert!(site.answer(id).is_some());
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
