entry: carry peer messages over TCP in safe Rust instead of nng

Change: frames of tokio-util's length-delimited codec on smol's TcpStream, behind the same PeerTransport, PeerRoute and PeerQueue. Each side greets with protocol, version and a tag under the key before anything else.

--- a/entry/src/deferred_transport.rs
+++ b/entry/src/deferred_transport.rs
@@ -8,17 +8,17 @@
 
 use crate::peer::PeerSendError;
 use crate::peer::PeerTransport;
-use crate::peer_nng::NngTransport;
+use crate::peer_tcp::TcpTransport;
 
 /// Passes messages to a transport; refuses them until the transport has been started.
 #[derive(Default)]
 pub(crate) struct DeferredTransport {
-    started: OnceLock<NngTransport>,
+    started: OnceLock<TcpTransport>,
 }
 
 impl DeferredTransport {
     /// Sets the started transport; a second one is ignored.
-    pub(crate) fn start(&self, transport: NngTransport) {
+    pub(crate) fn start(&self, transport: TcpTransport) {
         if self.started.set(transport).is_err() {
             tracing::warn!("second peer transport ignored");
         }
--- a/entry/src/executor.rs
+++ b/entry/src/executor.rs
@@ -18,6 +18,14 @@
     async_global_executor::spawn(future).detach();
 }
 
+/// A task that is cancelled when it is dropped.
+pub(crate) type BackgroundTask = async_global_executor::Task<()>;
+
+/// Spawns a future that runs in the background until its task is dropped.
+pub(crate) fn spawn_task(future: impl Future<Output = ()> + Send + 'static) -> BackgroundTask {
+    async_global_executor::spawn(future)
+}
+
 /// Runs a future and blocks this thread until it ends.
 pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     async_global_executor::block_on(future)
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -71,7 +71,7 @@
     pub step: &'static str,
     /// The address to listen on.
     pub address: std::net::SocketAddr,
-    /// The error text of the messaging library.
+    /// The error text of the operating system.
     pub reason: String,
 }
 
--- a/entry/src/peer_counters.rs
+++ b/entry/src/peer_counters.rs
@@ -24,11 +24,13 @@
     NotAuthentic,
     /// Messages received with a valid authentication tag but malformed content.
     Invalid,
+    /// Connections closed because they sent no valid greeting or were too many.
+    Rejected,
 }
 
 impl PeerCount {
     /// Every counted kind.
-    pub const ALL: [PeerCount; 8] = [
+    pub const ALL: [PeerCount; 9] = [
         PeerCount::Sent,
         PeerCount::NotConnected,
         PeerCount::QueueFull,
@@ -37,6 +39,7 @@
         PeerCount::Received,
         PeerCount::NotAuthentic,
         PeerCount::Invalid,
+        PeerCount::Rejected,
     ];
 
     /// Returns the value of the metric's label `end` for this count.
@@ -50,6 +53,7 @@
             PeerCount::Received => "received",
             PeerCount::NotAuthentic => "not_authentic",
             PeerCount::Invalid => "invalid",
+            PeerCount::Rejected => "rejected_connection",
         }
     }
 }
--- a/entry/src/peer_link.rs
+++ b/entry/src/peer_link.rs
@@ -1,29 +1,30 @@
-//! A connection to one sibling: a push socket and the queue of messages for it.
+//! A connection to one sibling and the queue of messages for it.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::Weak;
 use std::time::Duration;
 
+use almondhead_lib::peer_greeting::GREETING_BYTES;
+use almondhead_lib::peer_greeting::GreetingSide;
+use almondhead_lib::peer_greeting::PeerGreetings;
+use async_channel::Receiver;
+use async_channel::Sender;
 use bytes::Bytes;
-use nng::Aio;
-use nng::AioResult;
-use nng::Message;
-use nng::PipeEvent;
-use nng::Protocol;
-use nng::Socket;
-use nng::options::Options;
-use nng::options::ReconnectMaxTime;
-use nng::options::ReconnectMinTime;
-use nng::options::RecvBufferSize;
-use nng::options::SendBufferSize;
-use nng::options::transport::tcp::NoDelay;
-
+use bytes::BytesMut;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::future::or;
+use smol::Timer;
+use smol::net::TcpStream;
+
+use crate::executor;
 use crate::peer_counters::PeerCount;
 use crate::peer_counters::PeerCounters;
+use crate::peer_frame::PeerFrames;
 use crate::peer_queue::PeerQueue;
 
 /// Minimum delay between two attempts to connect to a sibling.
@@ -32,11 +33,19 @@
 /// Maximum delay between two attempts to connect to a sibling.
 const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(500);
 
-/// Sends to one sibling, one message at a time, and reconnects until it is dropped.
+/// How long an attempt to connect may take, including the sibling's greeting. A first packet that
+/// was lost is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum number of bytes of queued messages that are written at once.
+const MAX_WRITE_BYTES: usize = 64 * 1024;
+
+/// Sends to one sibling and reconnects until it is dropped.
 #[derive(Debug)]
 pub(crate) struct PeerLink {
     shared: Arc<Shared>,
-    sender: Aio,
+    /// Wakes the writer; its end stops the link.
+    wake: Sender<()>,
 }
 
 /// Why a link did not accept a message.
@@ -46,10 +55,11 @@
     QueueFull,
 }
 
-/// The state shared between a link and the callbacks of its socket.
+/// The state shared between a link and its task.
 #[derive(Debug)]
 struct Shared {
-    socket: Socket,
+    address: SocketAddr,
+    greetings: Arc<PeerGreetings>,
     counters: Arc<PeerCounters>,
     state: Mutex<LinkState>,
 }
@@ -63,25 +73,23 @@
 
 impl PeerLink {
     /// Opens a link, which starts to connect to `address`.
-    pub(crate) fn open(address: SocketAddr, counters: Arc<PeerCounters>) -> nng::Result<Self> {
-        let socket = Socket::new(Protocol::Push0)?;
-        socket.set_opt::<SendBufferSize>(0)?;
-        socket.set_opt::<RecvBufferSize>(0)?;
-        socket.set_opt::<ReconnectMinTime>(Some(MIN_RECONNECT_DELAY))?;
-        socket.set_opt::<ReconnectMaxTime>(Some(MAX_RECONNECT_DELAY))?;
-        socket.set_opt::<NoDelay>(true)?;
+    pub(crate) fn open(
+        address: SocketAddr,
+        greetings: Arc<PeerGreetings>,
+        counters: Arc<PeerCounters>,
+    ) -> Self {
         let shared = Arc::new(Shared {
-            socket,
+            address,
+            greetings,
             counters,
             state: Mutex::default(),
         });
-        let sender = shared.new_sender()?;
-        shared.watch_connection()?;
-        shared.socket.dial_async(&format!("tcp://{address}"))?;
-        Ok(PeerLink { shared, sender })
+        let (wake, woken) = async_channel::bounded(1);
+        executor::spawn(Arc::clone(&shared).run(woken));
+        PeerLink { shared, wake }
     }
 
-    /// Returns whether the library reports an open connection.
+    /// Returns whether the sibling has accepted the connection.
     pub(crate) fn is_connected(&self) -> bool {
         self.shared.lock().is_connected
     }
@@ -100,9 +108,9 @@
         if !state.queue.push(message) {
             return Err(LinkRefusal::QueueFull);
         }
-        if !state.is_sending {
-            self.shared.send_next(&mut state, &self.sender);
-        }
+        state.is_sending = true;
+        // Fails when the writer has already been woken.
+        self.wake.try_send(()).ok();
         Ok(())
     }
 }
@@ -110,56 +118,107 @@
 impl Drop for PeerLink {
     fn drop(&mut self) {
         self.shared.on_disconnected();
-        self.shared.socket.close();
-        self.sender.wait();
     }
 }
 
 impl Shared {
-    /// Creates the operation that sends the queued messages one after the other.
-    fn new_sender(self: &Arc<Self>) -> nng::Result<Aio> {
-        let shared = Arc::downgrade(self);
-        Aio::new(move |sender, result| {
-            if let Some(shared) = shared.upgrade() {
-                shared.on_sent(&sender, &result);
+    /// Connects, sends and reconnects until the link is dropped.
+    async fn run(self: Arc<Self>, woken: Receiver<()>) {
+        let mut delay = MIN_RECONNECT_DELAY;
+        while !woken.is_closed() {
+            match self.connect_in_time(&woken).await {
+                Ok(stream) => {
+                    delay = MIN_RECONNECT_DELAY;
+                    self.lock().is_connected = true;
+                    if let Err(error) = self.serve(&stream, &woken).await {
+                        tracing::debug!(address = %self.address, %error, "peer connection ended");
+                    }
+                    self.on_disconnected();
+                }
+                Err(error) => {
+                    tracing::debug!(address = %self.address, %error, "peer not connected");
+                }
             }
-        })
+            or(dropped(&woken), async {
+                Timer::after(delay).await;
+            })
+            .await;
+            delay = (delay * 2).min(MAX_RECONNECT_DELAY);
+        }
     }
 
-    fn on_sent(&self, sender: &Aio, result: &AioResult) {
-        let outcome = match result {
-            AioResult::Send(Ok(())) => PeerCount::Sent,
-            _ => PeerCount::Lost,
+    async fn connect_in_time(&self, woken: &Receiver<()>) -> io::Result<TcpStream> {
+        let timeout = async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
         };
-        self.counters.increment(outcome);
-        let mut state = self.lock();
-        self.send_next(&mut state, sender);
+        let dropped = async {
+            dropped(woken).await;
+            Err(io::ErrorKind::Interrupted.into())
+        };
+        or(self.connect(), or(dropped, timeout)).await
     }
 
-    fn send_next(&self, state: &mut LinkState, sender: &Aio) {
-        state.is_sending = false;
-        while let Some(message) = state.queue.pop() {
-            let message = Message::from(&message[..]);
-            if self.socket.send_async(sender, message).is_ok() {
-                state.is_sending = true;
-                return;
-            }
-            self.counters.increment(PeerCount::Lost);
+    /// Connects and exchanges greetings.
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let greeting = self.greetings.of(GreetingSide::Dialer);
+        stream.write_all(greeting).await?;
+        let mut answer = [0; GREETING_BYTES];
+        stream.read_exact(&mut answer).await?;
+        match self.greetings.is_from(GreetingSide::Listener, &answer) {
+            true => Ok(stream),
+            false => Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "not the greeting of a peer of this firm",
+            )),
         }
     }
 
-    fn watch_connection(self: &Arc<Self>) -> nng::Result<()> {
-        let shared: Weak<Shared> = Arc::downgrade(self);
-        self.socket.pipe_notify(move |_, event| {
-            let Some(shared) = shared.upgrade() else {
-                return;
+    /// Sends messages until the connection breaks or the link is dropped.
+    async fn serve(&self, stream: &TcpStream, woken: &Receiver<()>) -> io::Result<()> {
+        or(watch_end(stream.clone()), self.write(stream.clone(), woken)).await
+    }
+
+    async fn write(&self, mut stream: TcpStream, woken: &Receiver<()>) -> io::Result<()> {
+        let mut frames = PeerFrames::default();
+        let mut bytes = BytesMut::new();
+        loop {
+            let messages = self.next_messages(&mut frames, &mut bytes)?;
+            if messages == 0 {
+                if woken.recv().await.is_err() {
+                    return Ok(());
+                }
+                continue;
+            }
+            let written = stream.write_all(&bytes).await;
+            let count = match &written {
+                Ok(()) => PeerCount::Sent,
+                Err(_) => PeerCount::Lost,
             };
-            match event {
-                PipeEvent::AddPost => shared.lock().is_connected = true,
-                PipeEvent::RemovePost => shared.on_disconnected(),
-                _ => {}
+            self.counters.add(count, messages);
+            written?;
+            // Frees the memory of a large message.
+            match bytes.capacity() > MAX_WRITE_BYTES {
+                true => bytes = BytesMut::new(),
+                false => bytes.clear(),
             }
-        })
+        }
+    }
+
+    /// Moves queued messages into the bytes to send and returns their number.
+    fn next_messages(&self, frames: &mut PeerFrames, bytes: &mut BytesMut) -> io::Result<usize> {
+        let mut state = self.lock();
+        let mut messages = 0;
+        while bytes.len() < MAX_WRITE_BYTES
+            && let Some(message) = state.queue.pop()
+        {
+            messages += 1;
+            frames.append(message, bytes)?;
+        }
+        state.is_sending = messages > 0;
+        Ok(messages)
     }
 
     /// Drops the queued messages: after a reconnect they would arrive after their senders had given
@@ -167,6 +226,7 @@
     fn on_disconnected(&self) {
         let mut state = self.lock();
         state.is_connected = false;
+        state.is_sending = false;
         let dropped = state.queue.clear();
         self.counters.add(PeerCount::Lost, dropped);
     }
@@ -175,3 +235,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Waits until the link has been dropped.
+async fn dropped(woken: &Receiver<()>) {
+    while woken.recv().await.is_ok() {}
+}
+
+/// Waits until the sibling has closed the connection; it sends nothing after its greeting.
+async fn watch_end(mut stream: TcpStream) -> io::Result<()> {
+    let mut byte = [0];
+    match stream.read(&mut byte).await? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        _ => Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "bytes from a peer that only receives",
+        )),
+    }
+}
--- a/entry/src/peer_route.rs
+++ b/entry/src/peer_route.rs
@@ -5,15 +5,21 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::RwLock;
 use std::time::Duration;
 use std::time::Instant;
 
+use almondhead_lib::peer_greeting::PeerGreetings;
 use bytes::Bytes;
+use indexmap::IndexMap;
 
 use crate::peer_counters::PeerCounters;
 use crate::peer_link::LinkRefusal;
 use crate::peer_link::PeerLink;
 
+/// The routes to the siblings, by their names.
+pub(crate) type Routes = Arc<RwLock<IndexMap<Arc<str>, PeerRoute>>>;
+
 /// How long sent messages may remain unanswered before a spare connection is opened.
 ///
 /// After a network cut, TCP retransmits only after a backoff that is as long as the cut was.
@@ -23,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct PeerRoute {
     address: SocketAddr,
+    greetings: Arc<PeerGreetings>,
     counters: Arc<PeerCounters>,
     state: Mutex<RouteState>,
 }
@@ -46,10 +53,15 @@
 
 impl PeerRoute {
     /// Opens a route, which starts to connect to `address`.
-    pub(crate) fn open(address: SocketAddr, counters: Arc<PeerCounters>) -> nng::Result<Self> {
-        let link = PeerLink::open(address, counters.clone())?;
-        Ok(PeerRoute {
+    pub(crate) fn open(
+        address: SocketAddr,
+        greetings: Arc<PeerGreetings>,
+        counters: Arc<PeerCounters>,
+    ) -> Self {
+        let link = PeerLink::open(address, greetings.clone(), counters.clone());
+        PeerRoute {
             address,
+            greetings,
             counters,
             state: Mutex::new(RouteState {
                 link,
@@ -57,7 +69,7 @@
                 retired: None,
                 unanswered_since: None,
             }),
-        })
+        }
     }
 
     /// Returns the address that the sibling listens on.
@@ -79,22 +91,16 @@
     pub(crate) fn record_received(&self) {
         let mut state = self.lock();
         state.unanswered_since = None;
-        if let Some(spare) = state.spare.take() {
-            close(spare.link);
-        }
+        state.spare = None;
     }
 
     /// Switches to the spare link once it is connected, and opens one when the link in use is
     /// connected but its messages remain unanswered.
     fn update_links(&self, state: &mut RouteState, now: Instant) {
-        if let Some(idle) = state.retired.take_if(|link| link.is_idle()) {
-            close(idle);
-        }
+        state.retired.take_if(|link| link.is_idle());
         if let Some(spare) = state.spare.take_if(|spare| spare.link.is_connected()) {
             let link = std::mem::replace(&mut state.link, spare.link);
-            if let Some(older) = state.retired.replace(link) {
-                close(older);
-            }
+            state.retired = Some(link);
             state.unanswered_since = None;
         }
         let is_timed_out = |since: Instant| now.duration_since(since) >= UNANSWERED_TIMEOUT;
@@ -106,22 +112,14 @@
         {
             return;
         }
-        let opened = PeerLink::open(self.address, self.counters.clone()).ok();
-        let spare = opened.map(|link| SpareLink {
-            link,
+        let (greetings, counters) = (self.greetings.clone(), self.counters.clone());
+        state.spare = Some(SpareLink {
+            link: PeerLink::open(self.address, greetings, counters),
             opened_at: now,
         });
-        if let Some(failed) = std::mem::replace(&mut state.spare, spare) {
-            close(failed.link);
-        }
     }
 
     fn lock(&self) -> MutexGuard<'_, RouteState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Closes a link on a blocking thread, because closing waits for the library's threads.
-fn close(link: PeerLink) {
-    smol::unblock(move || drop(link)).detach();
-}
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -52,7 +52,7 @@
 use crate::peer::Incoming;
 use crate::peer::PeerSettings;
 use crate::peer::PeerStartError;
-use crate::peer_nng::NngTransport;
+use crate::peer_tcp::TcpTransport;
 use crate::reload::watch_settings;
 use crate::run_process::run_leased;
 use crate::settings::Settings;
@@ -138,7 +138,7 @@
     stopping: Stopping,
     driver: DriverHandle,
     platform: Arc<dyn Platform>,
-    peers: Arc<NngTransport>,
+    peers: Arc<TcpTransport>,
 }
 
 impl Process {
@@ -206,7 +206,7 @@
             instance: Arc::from(settings.instance.as_str()),
             incarnation: Incarnation(rand::random()),
         };
-        let (peers, incoming) = NngTransport::start(PeerSettings {
+        let (peers, incoming) = TcpTransport::start(PeerSettings {
             identity: identity.clone(),
             listen: settings.peer_address,
             key: settings.peer_key.expose().to_vec(),
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -32,7 +32,7 @@
 use crate::listener;
 use crate::peer::Incoming;
 use crate::peer::PeerSettings;
-use crate::peer_nng::NngTransport;
+use crate::peer_tcp::TcpTransport;
 use crate::process::ProcessError;
 use crate::run_api::RunContext;
 use crate::run_api::ready_api;
@@ -125,7 +125,7 @@
         let dispatcher = RunDispatcher::new(run_settings, Box::new(StoredIntendedDecoder));
         executor::spawn(RunDriver::new(dispatcher, Clock::start(), commands, effects).run());
         let key = shared_key(&store, &settings).await;
-        let (transport, incoming) = NngTransport::start(PeerSettings {
+        let (transport, incoming) = TcpTransport::start(PeerSettings {
             identity: identity.clone(),
             listen: settings.peer_address,
             key: key.to_vec(),
--- a/entry/tests/peer_transport.rs
+++ b/entry/tests/peer_transport.rs
@@ -2,132 +2,45 @@
 
 #[path = "../../lib/tests/common/mod.rs"]
 mod common;
+#[path = "common/peers.rs"]
+mod peers;
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use almondhead_entry::peer::Incoming;
 use almondhead_entry::peer::PeerSendError;
-use almondhead_entry::peer::PeerSettings;
 use almondhead_entry::peer::PeerTransport;
 use almondhead_entry::peer_counters::PeerCount;
 use almondhead_entry::peer_memory::MemoryNetwork;
-use almondhead_entry::peer_nng::NngTransport;
 use almondhead_entry::peer_queue::MAX_QUEUED_BYTES;
-use almondhead_lib::event::PeerIdentity;
-use almondhead_lib::id::Incarnation;
-use almondhead_lib::membership::Sibling;
-use almondhead_lib::peer_envelope::Envelope;
 use almondhead_lib::peer_envelope::MAX_ENVELOPE_BYTES;
+use almondhead_lib::peer_greeting::GreetingSide;
+use almondhead_lib::peer_greeting::PeerGreetings;
 use almondhead_lib::peer_message::PeerMessage;
 use almondhead_testsupport::FaultProxy;
 use almondhead_testsupport::ProxyFaults;
 use bytes::Bytes;
-use futures_lite::FutureExt;
-use nng::Protocol;
-use nng::Socket;
 use quickcheck::Gen;
 
 use crate::common::any_message::KINDS;
 use crate::common::any_message::message_of_kind;
+use crate::peers::KEY;
+use crate::peers::POLL_INTERVAL;
+use crate::peers::WAIT_TIMEOUT;
+use crate::peers::any_port;
+use crate::peers::identity;
+use crate::peers::receive;
+use crate::peers::send_when_connected;
+use crate::peers::sibling;
+use crate::peers::start;
+use crate::peers::start_siblings;
+use crate::peers::wait_for_count;
 
-const KEY: &[u8] = b"a key of the firm, 32 bytes long";
 const SEED: u64 = 0x5eed;
-const WAIT_TIMEOUT: Duration = Duration::from_secs(5);
 const RECONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
-
-struct Peer {
-    transport: NngTransport,
-    incoming: Incoming,
-}
-
-fn identity(instance: &str, incarnation: u64) -> PeerIdentity {
-    PeerIdentity {
-        instance: Arc::from(instance),
-        incarnation: Incarnation(incarnation),
-    }
-}
-
-fn start(instance: &str, incarnation: u64, listen: SocketAddr, key: &[u8]) -> Peer {
-    let settings = PeerSettings {
-        identity: identity(instance, incarnation),
-        listen,
-        key: key.to_vec(),
-    };
-    let (transport, incoming) = NngTransport::start(settings).unwrap();
-    Peer {
-        transport,
-        incoming,
-    }
-}
-
-fn any_port() -> SocketAddr {
-    "127.0.0.1:0".parse().unwrap()
-}
-
-fn sibling(name: &str, peer_address: SocketAddr) -> Sibling {
-    Sibling {
-        name: Arc::from(name),
-        data_centre: Arc::from("ate"),
-        peer_address,
-        incarnation: None,
-        leaving: false,
-    }
-}
-
-/// Starts two transports, each of which lists the other as a sibling.
-fn start_siblings(key_of_second: &[u8]) -> (Peer, Peer) {
-    let first = start("ate-1", 1, any_port(), KEY);
-    let second = start("ate-2", 2, any_port(), key_of_second);
-    let first_address = first.transport.local_address();
-    let second_address = second.transport.local_address();
-    first
-        .transport
-        .set_siblings(&[sibling("ate-2", second_address)]);
-    second
-        .transport
-        .set_siblings(&[sibling("ate-1", first_address)]);
-    (first, second)
-}
-
-/// Sends a message as soon as there is a connection. Panics if there is none within `timeout`.
-fn send_when_connected(peer: &Peer, to: &str, message: &PeerMessage, timeout: Duration) {
-    let to = Arc::from(to);
-    let started = Instant::now();
-    loop {
-        match peer.transport.send(&to, message) {
-            Ok(()) => return,
-            Err(PeerSendError::NotConnected { .. }) if started.elapsed() < timeout => {
-                std::thread::sleep(POLL_INTERVAL);
-            }
-            Err(error) => panic!("sending to {to}: {error} after {:?}", started.elapsed()),
-        }
-    }
-}
-
-/// Returns the next message, or none if there is none within `WAIT_TIMEOUT`.
-fn receive(incoming: &Incoming) -> Option<Envelope> {
-    let timeout = async {
-        smol::Timer::after(WAIT_TIMEOUT).await;
-        None
-    };
-    smol::block_on(async { incoming.recv().await.ok() }.or(timeout))
-}
-
-/// Waits until a counter of the transport has reached a value.
-fn wait_for_count(peer: &Peer, count: PeerCount, at_least: u64) {
-    let started = Instant::now();
-    while peer.transport.counters().get(count) < at_least {
-        assert!(
-            started.elapsed() < WAIT_TIMEOUT,
-            "{count:?} stayed below {at_least}"
-        );
-        std::thread::sleep(POLL_INTERVAL);
-    }
-}
 
 #[test]
 fn every_kind_arrives() {
@@ -160,24 +73,31 @@
     }
 }
 
+/// A sibling with another key is not connected, so that none of its messages arrives.
 #[test]
 fn wrong_key_dropped() {
     let (first, second) = start_siblings(b"another firm's key of 32 bytes..");
+    wait_for_count(&first, PeerCount::Rejected, 1);
     let message = PeerMessage::HomeGone { correlation: 1 };
-    send_when_connected(&second, "ate-1", &message, WAIT_TIMEOUT);
-    wait_for_count(&first, PeerCount::NotAuthentic, 1);
+    let sent = second.transport.send(&Arc::from("ate-1"), &message);
+    assert!(matches!(sent, Err(PeerSendError::NotConnected { .. })));
     assert!(first.incoming.is_empty());
     assert_eq!(first.transport.counters().get(PeerCount::Received), 0);
 }
 
+/// Each message that follows a valid greeting is authenticated, too.
 #[test]
 fn unauthenticated_bytes_dropped() {
     let first = start("ate-1", 1, any_port(), KEY);
-    let stranger = Socket::new(Protocol::Push0).unwrap();
-    let address = first.transport.local_address();
-    stranger.dial(&format!("tcp://{address}")).unwrap();
+    let greetings = PeerGreetings::new(KEY);
     for bytes in [&b""[..], b"short", &[0; 32], &[7; 4_096]] {
-        stranger.send(bytes).unwrap();
+        let mut stranger = TcpStream::connect(first.transport.local_address()).unwrap();
+        stranger
+            .write_all(greetings.of(GreetingSide::Dialer))
+            .unwrap();
+        let length = u32::try_from(bytes.len()).unwrap();
+        stranger.write_all(&length.to_be_bytes()).unwrap();
+        stranger.write_all(bytes).unwrap();
     }
     wait_for_count(&first, PeerCount::NotAuthentic, 4);
     assert!(first.incoming.is_empty());
@@ -193,11 +113,14 @@
     let sent = first.transport.send(&Arc::from("ate-2"), &message);
     assert!(matches!(sent, Err(PeerSendError::TooLarge { .. })));
 
-    let stranger = Socket::new(Protocol::Push0).unwrap();
-    let address = second.transport.local_address();
-    stranger.dial(&format!("tcp://{address}")).unwrap();
-    let oversized = vec![0; MAX_ENVELOPE_BYTES + 1];
-    let _ = stranger.send(&oversized);
+    let mut stranger = TcpStream::connect(second.transport.local_address()).unwrap();
+    let greetings = PeerGreetings::new(KEY);
+    stranger
+        .write_all(greetings.of(GreetingSide::Dialer))
+        .unwrap();
+    let length = u32::try_from(MAX_ENVELOPE_BYTES + 1).unwrap();
+    stranger.write_all(&length.to_be_bytes()).unwrap();
+    wait_for_count(&second, PeerCount::NotAuthentic, 1);
     send_when_connected(
         &first,
         "ate-2",
@@ -205,7 +128,7 @@
         WAIT_TIMEOUT,
     );
     assert!(receive(&second.incoming).is_some());
-    assert_eq!(second.transport.counters().get(PeerCount::NotAuthentic), 0);
+    assert_eq!(second.transport.counters().get(PeerCount::NotAuthentic), 1);
 }
 
 #[test]
--- a/lib/src/authenticator.rs
+++ b/lib/src/authenticator.rs
@@ -16,6 +16,10 @@
     SessionToken,
     /// The envelope of a message between entry instances.
     PeerEnvelope,
+    /// The greeting of an entry instance that connects to another.
+    PeerDialer,
+    /// The greeting of an entry instance that accepts a connection of another.
+    PeerListener,
 }
 
 impl Purpose {
@@ -23,6 +27,8 @@
         match self {
             Purpose::SessionToken => b"almondhead session token 1\0",
             Purpose::PeerEnvelope => b"almondhead peer envelope 1\0",
+            Purpose::PeerDialer => b"almondhead peer dialer 1\0",
+            Purpose::PeerListener => b"almondhead peer listener 1\0",
         }
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod ownership;
 pub mod peer_codec;
 pub mod peer_envelope;
+pub mod peer_greeting;
 pub mod peer_message;
 #[allow(clippy::all, missing_docs, unreachable_pub)]
 #[rustfmt::skip]
