runs: work out reports and the own assignment only when something changed

The change of load is taken from sums; batches are grouped once a report; the assignment is kept until the members or the listing change.

--- a/lib/src/runs/assignment.rs
+++ b/lib/src/runs/assignment.rs
@@ -10,12 +10,45 @@
 use super::upstream_listing::UpstreamListing;
 use crate::ownership::rendezvous_owner;
 
+/// The upstreams that are assigned to one instance, worked out again only when the members of the
+/// roster or the listed upstreams have changed.
+///
+/// The roster is read twice a second, and most reads differ in heartbeats alone.
+#[derive(Debug, Default)]
+pub(crate) struct OwnAssignment {
+    /// The revision of the listing that it was worked out from; none when the members have changed.
+    listing_revision: Option<u64>,
+    upstreams: Vec<Arc<ListedUpstream>>,
+}
+
+impl OwnAssignment {
+    /// Records that the members of the roster have changed.
+    pub(crate) fn on_membership_changed(&mut self) {
+        self.listing_revision = None;
+    }
+
+    /// The listed upstreams that are assigned to `instance`.
+    pub(crate) fn upstreams(
+        &mut self,
+        instance: &str,
+        roster: &Roster,
+        listing: &UpstreamListing,
+    ) -> &[Arc<ListedUpstream>] {
+        let revision = Some(listing.revision());
+        if self.listing_revision != revision {
+            self.listing_revision = revision;
+            self.upstreams = assigned_to(instance, roster, listing);
+        }
+        &self.upstreams
+    }
+}
+
 /// The listed upstreams that are assigned to `instance`.
 ///
 /// The upstreams of a data centre are assigned to its own instances or, if it has none, to those
 /// of all other data centres. The owner of an upstream depends on the roster alone: instances
 /// whose listings differ temporarily agree on it, so the roster's version can fence ownership.
-pub(crate) fn assigned_to(
+fn assigned_to(
     instance: &str,
     roster: &Roster,
     listing: &UpstreamListing,
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -1038,10 +1038,13 @@
         }
     }
 
-    /// The numbers of the batches that are open at an owner.
-    pub(crate) fn open_batches_at(&self, owner: OwnerRef) -> Vec<u64> {
-        let open = self.batches.keys().filter(|(at, _)| *at == owner);
-        open.map(|(_, number)| *number).collect()
+    /// The numbers of the open batches, by owner.
+    pub(crate) fn open_batches(&self) -> IndexMap<OwnerRef, Vec<u64>> {
+        let mut open: IndexMap<OwnerRef, Vec<u64>> = IndexMap::new();
+        for (owner, number) in self.batches.keys() {
+            open.entry(*owner).or_default().push(*number);
+        }
+        open
     }
 
     /// Whether no job is open.
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -24,6 +24,7 @@
 use super::resources::Resources;
 use super::run_action::RunAction;
 use super::run_digest::FreeUpstream;
+use super::run_digest::LoadSummary;
 use super::run_digest::RunLoad;
 use super::run_digest::name_hash;
 use super::run_id::HeldBatchKey;
@@ -482,10 +483,10 @@
         Some(batch)
     }
 
-    /// The numbers of the batches that are held for a home, and the highest number accepted from it.
+    /// The numbers of the batches that are held, by home.
     ///
     /// A dropped batch counts as held until the last of its runs must have ended.
-    pub(crate) fn held_batches_of(&self, now: Timestamp, home: Incarnation) -> (Vec<u64>, u64) {
+    pub(crate) fn held_batches(&self, now: Timestamp) -> IndexMap<Incarnation, Vec<u64>> {
         let runs = self
             .upstreams
             .values()
@@ -497,14 +498,20 @@
             .filter(|(_, until)| **until > now);
         let all = self.by_number.keys().copied().chain(stopping);
         let all = all.chain(possibly_running.map(|(batch, _)| *batch));
-        let mut held: Vec<u64> = all
-            .filter(|(of, _)| *of == home)
-            .map(|(_, number)| number)
-            .collect();
-        held.sort_unstable();
-        held.dedup();
-        let highest = self.highest_taken.get(&home).copied().unwrap_or(0);
-        (held, highest)
+        let mut held: IndexMap<Incarnation, Vec<u64>> = IndexMap::new();
+        for (home, number) in all {
+            held.entry(home).or_default().push(number);
+        }
+        for numbers in held.values_mut() {
+            numbers.sort_unstable();
+            numbers.dedup();
+        }
+        held
+    }
+
+    /// The highest number of a batch accepted from a home; 0 if there is none.
+    pub(crate) fn highest_taken_of(&self, home: Incarnation) -> u64 {
+        self.highest_taken.get(&home).copied().unwrap_or(0)
     }
 
     /// The homes of all held batches.
@@ -907,6 +914,28 @@
         loads.into_values().collect()
     }
 
+    /// The figures that decide whether a changed load is reported, without the digest itself.
+    pub(crate) fn load_summary(&self, now: Timestamp) -> LoadSummary {
+        let mut summary = LoadSummary::default();
+        if self.is_leaving {
+            return summary;
+        }
+        let usable = || self.upstreams.values().filter(|up| up.is_usable());
+        for upstream in usable() {
+            let total = &mut summary.total_millicores;
+            *total = total.saturating_add(upstream.listed.capacity.cpu_millicores);
+            if upstream.can_take_work(now) {
+                let free = &mut summary.free_millicores;
+                *free = free.saturating_add(upstream.free().cpu_millicores);
+            }
+        }
+        summary.has_queue = self.queue.iter().any(|(batch_key, _)| {
+            let service = &self.batches[*batch_key].service;
+            usable().any(|upstream| upstream.listed.service == *service)
+        });
+        summary
+    }
+
     /// Whether no batch is held.
     pub(crate) fn is_idle(&self) -> bool {
         self.batches.is_empty()
--- a/lib/src/runs/run_digest.rs
+++ b/lib/src/runs/run_digest.rs
@@ -48,6 +48,18 @@
     pub slowness_percent: u32,
 }
 
+/// The figures of a load that decide whether it is reported between heartbeats.
+#[value]
+#[derive(Copy, Default)]
+pub(crate) struct LoadSummary {
+    /// The free processor capacity, in thousandths of a core.
+    pub(crate) free_millicores: u32,
+    /// The whole processor capacity of the usable upstreams, in thousandths of a core.
+    pub(crate) total_millicores: u32,
+    /// Whether tasks wait for free capacity.
+    pub(crate) has_queue: bool,
+}
+
 /// A 32-bit hash of an upstream's name, enough to tell the upstreams of one service apart.
 pub fn name_hash(upstream: &str) -> u32 {
     xxh3_64_with_seed(upstream.as_bytes(), 0) as u32
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use indexmap::IndexSet;
 
+use super::assignment::OwnAssignment;
 use super::event::RunEvent;
 use super::home::Home;
 use super::home::HomeOutput;
@@ -25,6 +27,7 @@
 use super::run_answer::GivenUp;
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
+use super::run_digest::LoadSummary;
 use super::run_digest::RunDigest;
 use super::run_id::HomeJobKey;
 use super::run_id::PeerKey;
@@ -109,16 +112,16 @@
     intended_body: Bytes,
     decoder: Box<dyn IntendedDecoder>,
     pub(crate) roster: Roster,
+    assignment: OwnAssignment,
     pub(crate) roster_watch: super::roster_watch::RosterWatch,
     timers: TimerService<DispatcherTimer>,
     pause_guard: PauseGuard,
     unsent: Vec<UnsentMessage>,
     /// The instances with which this one exchanges heartbeats.
-    neighbours: Vec<Arc<str>>,
+    neighbours: IndexSet<Arc<str>>,
     is_leaving: bool,
-    /// The load of the last report: the free processor capacity, and whether tasks were queued.
-    reported_free_millicores: u32,
-    reported_has_queue: bool,
+    /// The load of the last report.
+    reported: LoadSummary,
     reported_at: Timestamp,
 }
 
@@ -140,14 +143,14 @@
             intended_body: Bytes::new(),
             decoder,
             roster: Roster::default(),
+            assignment: OwnAssignment::default(),
             roster_watch: super::roster_watch::RosterWatch::default(),
             timers,
             pause_guard: PauseGuard::default(),
             unsent: Vec::new(),
-            neighbours: Vec::new(),
+            neighbours: IndexSet::new(),
             is_leaving: false,
-            reported_free_millicores: 0,
-            reported_has_queue: false,
+            reported: LoadSummary::default(),
             reported_at: Timestamp::ZERO,
         }
     }
@@ -332,7 +335,9 @@
             for (peer, incarnation) in ended {
                 self.on_incarnation_ended(peer, incarnation);
             }
-            self.neighbours = neighbours(&self.settings.instance, &self.roster);
+            let neighbours = neighbours(&self.settings.instance, &self.roster);
+            self.neighbours = neighbours.into_iter().collect();
+            self.assignment.on_membership_changed();
             self.set_peers();
         }
         self.assign_upstreams();
@@ -358,13 +363,11 @@
     /// Takes over and releases upstreams as the roster and the listing assign them.
     pub(crate) fn assign_upstreams(&mut self) {
         let own = &self.settings.instance;
-        let assigned = super::assignment::assigned_to(own, &self.roster, &self.listing);
         let assigned = match self.is_leaving {
-            true => Vec::new(),
-            false => assigned,
+            true => &[],
+            false => self.assignment.upstreams(own, &self.roster, &self.listing),
         };
-        self.owner
-            .reassign(self.now, &assigned, self.roster.version);
+        self.owner.reassign(self.now, assigned, self.roster.version);
     }
 
     /// Checks what depends on the time, and sends heartbeats.
@@ -749,7 +752,10 @@
 
     fn send_reports(&mut self) {
         let digest = self.digest();
-        self.record_reported_load(&digest);
+        self.reported = self.owner.load_summary(self.now);
+        self.reported_at = self.now;
+        let mut held = self.owner.held_batches(self.now);
+        let mut open = self.home.open_batches();
         let peers: Vec<(PeerKey, Incarnation)> = self
             .peers
             .peers
@@ -757,8 +763,8 @@
             .map(|(key, peer)| (key, peer.incarnation))
             .collect();
         for (peer, incarnation) in peers {
-            let (held, highest_taken) = self.owner.held_batches_of(self.now, incarnation);
-            let open = self.home.open_batches_at(OwnerRef::Peer(peer));
+            let held = held.swap_remove(&incarnation).unwrap_or_default();
+            let open = open.swap_remove(&OwnerRef::Peer(peer)).unwrap_or_default();
             let state = &self.peers.peers[peer];
             let is_neighbour =
                 self.neighbours.contains(&state.name) || state.is_reachable_unlisted(self.now);
@@ -768,7 +774,7 @@
             let report = PeerReport {
                 digest: digest.clone(),
                 held,
-                highest_taken,
+                highest_taken: self.owner.highest_taken_of(incarnation),
                 open,
                 highest_sent: self.home.highest_batch_number(),
             };
@@ -776,21 +782,12 @@
         }
     }
 
-    fn record_reported_load(&mut self, digest: &RunDigest) {
-        self.reported_at = self.now;
-        (self.reported_free_millicores, self.reported_has_queue) = load_summary(digest);
-    }
-
     /// Sends a report if the load has changed substantially since the last one.
     fn report_load_change(&mut self) {
-        let digest = self.digest();
-        let (free, has_queue) = load_summary(&digest);
-        let total = digest.services.iter().map(|load| load.total.cpu_millicores);
-        let total = total.fold(0, u32::saturating_add);
-        let step = (total / REPORTED_CHANGE_DIVISOR).max(1);
-        if free.abs_diff(self.reported_free_millicores) < step
-            && has_queue == self.reported_has_queue
-        {
+        let load = self.owner.load_summary(self.now);
+        let step = (load.total_millicores / REPORTED_CHANGE_DIVISOR).max(1);
+        let change = load.free_millicores.abs_diff(self.reported.free_millicores);
+        if change < step && load.has_queue == self.reported.has_queue {
             return;
         }
         let due = self.reported_at + MIN_REPORT_INTERVAL;
@@ -820,11 +817,3 @@
     };
     membership(left) == membership(right)
 }
-
-/// The free processor capacity of a load in thousandths of a core, and whether tasks are queued.
-fn load_summary(digest: &RunDigest) -> (u32, bool) {
-    let free = digest.services.iter().flat_map(|load| &load.free);
-    let free = free.map(|upstream| upstream.free_resources.cpu_millicores);
-    let has_queue = digest.services.iter().any(|load| load.queued_tasks > 0);
-    (free.fold(0, u32::saturating_add), has_queue)
-}
--- a/lib/src/runs/upstream_listing.rs
+++ b/lib/src/runs/upstream_listing.rs
@@ -24,6 +24,8 @@
     is_store_unreachable: bool,
     /// When the store was last reachable again after an outage; none before the first one.
     regained_at: Option<Timestamp>,
+    /// Counts the changes of the listed upstreams.
+    revision: u64,
 }
 
 impl UpstreamListing {
@@ -34,6 +36,7 @@
             relisting_grace,
             is_store_unreachable: false,
             regained_at: None,
+            revision: 0,
         }
     }
 
@@ -56,7 +59,11 @@
             match change {
                 ListingChange::Listed(upstream) => {
                     self.pending_removals.swap_remove(&upstream.id);
-                    self.listed.insert(upstream.id.clone(), upstream);
+                    // Most entries change only in the number of their heartbeat.
+                    if self.listed.get(&upstream.id) != Some(&upstream) {
+                        self.listed.insert(upstream.id.clone(), upstream);
+                        self.revision += 1;
+                    }
                 }
                 ListingChange::Removed(id) => match self.may_relist_until(now) {
                     Some(until) if self.listed.contains_key(&id) => {
@@ -65,6 +72,7 @@
                     }
                     _ => {
                         self.listed.swap_remove(&id);
+                        self.revision += 1;
                         gone.push(id);
                     }
                 },
@@ -95,10 +103,16 @@
         for id in &gone {
             tracing::info!(upstream = %id, "upstream gone: not listed again after a store outage");
             self.listed.swap_remove(id);
+            self.revision += 1;
         }
         gone
     }
 
+    /// Rises with each change of the listed upstreams.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The listed upstreams.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<ListedUpstream>> {
         self.listed.values()
