runs: two instances of a data centre read the upstreams' entries for all

Cause: each instance read every upstream's row with every heartbeat.

Pattern: bounded dissemination. Two readers of each data centre with five instances or more, chosen by rendezvous hashing over the roster, pass on the changes that decide something: capacity, draining, birth, address, labels, removal. An update names the version after which it begins; who misses one, or hears from no reader for 1.2 s, reads for itself, as everybody did before. Changes carry the version of their row, so that a late one undoes nothing. There is no reader that anything depends on.

listing_relay (no network): who reads, readers frozen, cut off or killed, updates lost or late, draining known within 2 s all the same.

--- a/entry/src/run_driver.rs
+++ b/entry/src/run_driver.rs
@@ -15,6 +15,7 @@
 use almondhead_lib::runs::run_message::TimedRunMessage;
 use almondhead_lib::runs::run_order::AddressedOrder;
 use almondhead_lib::runs::run_status::RunStatus;
+use almondhead_platform::ListingSwitch;
 use almondhead_platform::OrderClient;
 use almondhead_platform::RosterSession;
 use almondhead_platform::StoreClient;
@@ -63,6 +64,8 @@
     pub(crate) peers: Arc<dyn PeerTransport>,
     pub(crate) metrics: RunMetrics,
     pub(crate) handle: RunHandle,
+    /// Switches the reads of the upstreams' entries.
+    pub(crate) listing_switch: Arc<ListingSwitch>,
     /// Asks the roster session to write this instance's row again.
     pub(crate) register_again: Sender<()>,
 }
@@ -197,6 +200,10 @@
             RunAction::RemoveMember { name, row_version } => {
                 self.remove_member(name, row_version);
             }
+            RunAction::ReadListing {
+                is_on,
+                known_version,
+            } => self.effects.listing_switch.set(is_on, known_version),
             RunAction::RegisterAgain => {
                 // Fails when a request is already queued, which has the same effect.
                 self.effects.register_again.try_send(()).ok();
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -13,6 +13,7 @@
 use almondhead_lib::runs::run_settings::RunSettings;
 use almondhead_net::Bytes;
 use almondhead_platform::EventSink;
+use almondhead_platform::ListingSwitch;
 use almondhead_platform::OrderClient;
 use almondhead_platform::RosterSession;
 use almondhead_platform::StoreClient;
@@ -113,12 +114,14 @@
         let store = store_client(&settings, &sink);
         let peers = Arc::new(DeferredTransport::default());
         let (register_again, registrations) = async_channel::bounded(1);
+        let listing_switch = Arc::new(ListingSwitch::default());
         let effects = RunEffects {
             orders: Arc::new(OrderClient::default()),
             store: Arc::clone(&store),
             peers: peers.clone(),
             metrics,
             handle: handle.clone(),
+            listing_switch: Arc::clone(&listing_switch),
             register_again,
         };
         let run_settings = run_settings(&settings, &leased, &identity);
@@ -133,7 +136,11 @@
         peers.start(transport);
         executor::spawn(receive_messages(incoming, handle.clone()));
         executor::spawn(watch_intended(Arc::clone(&store), Arc::clone(&sink)));
-        executor::spawn(watch_upstreams(Arc::clone(&store), Arc::clone(&sink)));
+        executor::spawn(watch_upstreams(
+            Arc::clone(&store),
+            listing_switch,
+            Arc::clone(&sink),
+        ));
         let session = RosterSession::new(
             store,
             settings.instance,
--- a/lib/src/peer_codec.rs
+++ b/lib/src/peer_codec.rs
@@ -6,6 +6,7 @@
 mod address;
 mod batch;
 mod field;
+mod listing;
 mod outcome;
 mod run;
 mod run_load;
--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -92,6 +92,7 @@
         RunMessage::IntendedRequest { have_version } => {
             Kind::IntendedRequest(proto::IntendedRequest { have_version })
         }
+        RunMessage::Listing(update) => Kind::Listing(update.into()),
         RunMessage::IntendedBody { version, body } => {
             Kind::IntendedBody(proto::IntendedBody { version, body })
         }
@@ -132,6 +133,7 @@
         Kind::IntendedRequest(request) => RunMessage::IntendedRequest {
             have_version: request.have_version,
         },
+        Kind::Listing(update) => RunMessage::Listing(update.try_into()?),
         Kind::IntendedBody(body) => RunMessage::IntendedBody {
             version: body.version,
             body: body.body,
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -426,7 +426,7 @@
     #[prost(fixed64, tag = "12")]
     pub receiver: u64,
     /// The kinds of message.
-    #[prost(oneof = "timed_run_message::Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "timed_run_message::Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 13")]
     pub kind: ::core::option::Option<timed_run_message::Kind>,
 }
 /// Nested message and enum types in `TimedRunMessage`.
@@ -461,6 +461,9 @@
         /// The intended state.
         #[prost(message, tag = "11")]
         IntendedBody(super::IntendedBody),
+        /// Changes of the upstreams' entries.
+        #[prost(message, tag = "13")]
+        Listing(super::ListingUpdate),
     }
 }
 /// An amount of processor, memory and accelerators.
@@ -684,6 +687,57 @@
     #[prost(bool, tag = "3")]
     pub failed: bool,
 }
+/// Changes of the upstreams' entries that the sender has read.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ListingUpdate {
+    /// The version of the store after which they begin.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+    /// The version up to which they are complete.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Those that decide something.
+    #[prost(message, repeated, tag = "3")]
+    pub changes: ::prost::alloc::vec::Vec<ListingChange>,
+}
+/// A change of an upstream's entry.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ListingChange {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// The version of the store.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The entry, none when it was removed.
+    #[prost(message, optional, tag = "3")]
+    pub upstream: ::core::option::Option<ListedUpstream>,
+}
+/// An upstream's entry.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ListedUpstream {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The address that takes orders, with its port.
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    /// The data centre.
+    #[prost(string, tag = "3")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Whether it is about to leave.
+    #[prost(bool, tag = "4")]
+    pub draining: bool,
+    /// Its whole capacity.
+    #[prost(message, optional, tag = "5")]
+    pub capacity: ::core::option::Option<Resources>,
+    /// Its kind and its rack.
+    #[prost(string, repeated, tag = "6")]
+    pub labels: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// When its incarnation began, where it says so.
+    #[prost(uint64, optional, tag = "7")]
+    pub born_unix_ms: ::core::option::Option<u64>,
+}
 /// A heartbeat about leased runs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerReport {
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -20,6 +20,7 @@
 mod leased_run;
 mod leased_upstream;
 pub mod listed_upstream;
+pub mod listing_relay;
 mod neighbours;
 mod owner;
 mod owner_answers;
--- a/lib/src/runs/event.rs
+++ b/lib/src/runs/event.rs
@@ -7,7 +7,7 @@
 
 use super::intended_state::IntendedState;
 use super::job_spec::JobSpec;
-use super::listed_upstream::ListingChange;
+use super::listed_upstream::ListingRead;
 use super::roster::Roster;
 use super::run_id::OrderId;
 use super::run_message::TimedRunMessage;
@@ -43,8 +43,8 @@
         /// The stored bytes, for passing it on to other instances.
         body: Bytes,
     },
-    /// Entries of the upstream listing changed.
-    UpstreamsListed(Vec<ListingChange>),
+    /// The upstreams' entries were read from the platform's store.
+    ListingRead(ListingRead),
     /// A version of the roster was read.
     RosterRead(Roster),
     /// The platform's store became reachable.
--- a/lib/src/runs/listed_upstream.rs
+++ b/lib/src/runs/listed_upstream.rs
@@ -37,9 +37,22 @@
 
 /// A change in the list of upstreams.
 #[value]
-pub enum ListingChange {
-    /// The upstream is listed with this entry from now on.
-    Listed(Arc<ListedUpstream>),
-    /// The upstream with this name is no longer listed.
-    Removed(Arc<str>),
+pub struct ListingChange {
+    /// The upstream's name.
+    pub id: Arc<str>,
+    /// The version of the store that the change produced.
+    pub version: u64,
+    /// Its entry from now on; none when it is no longer listed.
+    pub upstream: Option<Arc<ListedUpstream>>,
+}
+
+/// What a read of the upstreams' entries brought.
+#[value]
+pub struct ListingRead {
+    /// Whether the changes are all entries that there are, rather than those that have changed.
+    pub is_full: bool,
+    /// The version of the store up to which every change has been read.
+    pub version: u64,
+    /// The entries that have changed.
+    pub changes: Vec<ListingChange>,
 }
--- a/lib/src/runs/run_action.rs
+++ b/lib/src/runs/run_action.rs
@@ -47,6 +47,13 @@
         /// The version of its row.
         row_version: u64,
     },
+    /// Read the upstreams' entries from now on, or stop reading them.
+    ReadListing {
+        /// Whether to read them.
+        is_on: bool,
+        /// The version of the store up to which all changes are known; none if none are.
+        known_version: Option<u64>,
+    },
     /// Register this instance again: it was removed from the roster while it was running.
     RegisterAgain,
 }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -10,6 +10,7 @@
 
 use almondhead_macros::value;
 
+use super::listing_relay::ListingUpdate;
 use super::resources::Resources;
 use super::run_digest::RunDigest;
 use super::run_id::JobId;
@@ -83,6 +84,9 @@
         /// The version that the sender has; zero when it has none.
         have_version: u64,
     },
+    /// Changes of the upstreams' entries that the sender has read.
+    #[display("{} changes of the listing up to version {}", _0.changes.len(), _0.version)]
+    Listing(ListingUpdate),
     /// The sender's intended state, as the platform stores it.
     #[display("intended state of version {version}")]
     IntendedBody {
--- a/lib/src/runs/upstream_listing.rs
+++ b/lib/src/runs/upstream_listing.rs
@@ -7,9 +7,22 @@
 
 use super::listed_upstream::ListedUpstream;
 use super::listed_upstream::ListingChange;
+use super::listed_upstream::ListingRead;
 use super::resources::Resources;
 use crate::time::Timestamp;
 
+/// The maximum number of removed upstreams whose last change is remembered.
+const MAX_REMOVED_VERSIONS: usize = 4_096;
+
+/// What changes of the list changed here.
+#[derive(Debug, Default)]
+pub(crate) struct AppliedChanges {
+    /// The upstreams that are gone.
+    pub(crate) gone: Vec<Arc<str>>,
+    /// The changes that may change a decision, which most heartbeats do not.
+    pub(crate) deciding: Vec<ListingChange>,
+}
+
 /// The upstreams that are listed.
 ///
 /// While the store is unreachable, entries may expire although their upstreams still run. Such a
@@ -17,6 +30,10 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamListing {
     listed: IndexMap<Arc<str>, Arc<ListedUpstream>>,
+    /// The version of the last change of each upstream, listed or removed, the oldest change first.
+    ///
+    /// Changes arrive from the store and from other instances, in any order.
+    versions: IndexMap<Arc<str>, u64>,
     /// Removed entries that may still be listed again, with the time at which the removal takes effect.
     pending_removals: IndexMap<Arc<str>, Timestamp>,
     /// How long upstreams may take to list themselves again once the store is reachable.
@@ -32,6 +49,7 @@
     pub(crate) fn new(relisting_grace: Duration) -> Self {
         UpstreamListing {
             listed: IndexMap::new(),
+            versions: IndexMap::new(),
             pending_removals: IndexMap::new(),
             relisting_grace,
             is_store_unreachable: false,
@@ -52,33 +70,86 @@
         }
     }
 
-    /// Applies changes of the list; returns the ids of the upstreams that are gone.
-    pub(crate) fn apply(&mut self, now: Timestamp, changes: Vec<ListingChange>) -> Vec<Arc<str>> {
-        let mut gone = Vec::new();
+    /// Applies a read of the list; returns what it changed.
+    pub(crate) fn apply_read(&mut self, now: Timestamp, read: ListingRead) -> AppliedChanges {
+        let mut changes = read.changes;
+        if read.is_full {
+            let is_read = |id: &str| changes.iter().any(|change| &*change.id == id);
+            let removed = self.listed.keys().filter(|id| !is_read(id));
+            let removed: Vec<ListingChange> = removed
+                .map(|id| ListingChange {
+                    id: id.clone(),
+                    version: read.version,
+                    upstream: None,
+                })
+                .collect();
+            changes.extend(removed);
+        }
+        self.apply(now, changes)
+    }
+
+    /// Applies changes of the list that are newer than those known; returns what they changed.
+    pub(crate) fn apply(&mut self, now: Timestamp, changes: Vec<ListingChange>) -> AppliedChanges {
+        let mut applied = AppliedChanges::default();
         for change in changes {
-            match change {
-                ListingChange::Listed(upstream) => {
-                    self.pending_removals.swap_remove(&upstream.id);
-                    // Most entries change only in the number of their heartbeat.
-                    if self.listed.get(&upstream.id) != Some(&upstream) {
-                        self.listed.insert(upstream.id.clone(), upstream);
-                        self.revision += 1;
-                    }
+            let known = self.versions.get(&change.id);
+            if known.is_some_and(|known| change.version <= *known) {
+                continue;
+            }
+            self.versions.insert(change.id.clone(), change.version);
+            if self.apply_change(now, &change, &mut applied.gone) {
+                applied.deciding.push(change);
+            }
+        }
+        self.forget_old_versions();
+        applied
+    }
+
+    /// Applies a change; returns whether it changed more than a heartbeat does.
+    fn apply_change(
+        &mut self,
+        now: Timestamp,
+        change: &ListingChange,
+        gone: &mut Vec<Arc<str>>,
+    ) -> bool {
+        let id = &change.id;
+        let Some(upstream) = &change.upstream else {
+            let is_listed = self.listed.contains_key(id);
+            match self.may_relist_until(now) {
+                Some(until) if is_listed => {
+                    tracing::info!(upstream = %id, "entry removed during a store outage: kept for now");
+                    self.pending_removals.insert(id.clone(), until);
+                }
+                _ => {
+                    self.listed.swap_remove(id);
+                    self.revision += 1;
+                    gone.push(id.clone());
                 }
-                ListingChange::Removed(id) => match self.may_relist_until(now) {
-                    Some(until) if self.listed.contains_key(&id) => {
-                        tracing::info!(upstream = %id, "entry removed during a store outage: kept for now");
-                        self.pending_removals.insert(id, until);
-                    }
-                    _ => {
-                        self.listed.swap_remove(&id);
-                        self.revision += 1;
-                        gone.push(id);
-                    }
-                },
             }
+            return is_listed;
+        };
+        let was_pending = self.pending_removals.swap_remove(id).is_some();
+        // Most entries change only in the number of their heartbeat.
+        let is_changed = self.listed.get(id) != Some(upstream);
+        if is_changed {
+            self.listed.insert(id.clone(), upstream.clone());
+            self.revision += 1;
+        }
+        is_changed || was_pending
+    }
+
+    /// Forgets the versions of upstreams that were removed long ago.
+    fn forget_old_versions(&mut self) {
+        let listed = &self.listed;
+        let excess = self.versions.len().saturating_sub(listed.len());
+        if excess > MAX_REMOVED_VERSIONS {
+            let mut to_forget = excess - MAX_REMOVED_VERSIONS / 2;
+            self.versions.retain(|id, _| {
+                let is_kept = to_forget == 0 || listed.contains_key(id);
+                to_forget -= usize::from(!is_kept);
+                is_kept
+            });
         }
-        gone
     }
 
     /// Until when an upstream whose entry is removed now may list itself again; none when the removal
--- a/lib/testsupport/src/run_site/node.rs
+++ b/lib/testsupport/src/run_site/node.rs
@@ -7,6 +7,7 @@
 use almondhead_lib::runs::intended_state::IntendedState;
 use almondhead_lib::runs::intended_state::RequestLimits;
 use almondhead_lib::runs::intended_state::RunService;
+use almondhead_lib::runs::listed_upstream::ListingChange;
 use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
 use almondhead_lib::runs::run_dispatcher::RunDispatcher;
 use almondhead_lib::runs::run_settings::RunLimits;
@@ -58,6 +59,12 @@
     pub(super) is_leaving: bool,
     /// The events that arrived while it was frozen.
     pub(super) frozen_events: Vec<RunEvent>,
+    /// Whether its process reads the upstreams' entries.
+    pub(super) reads_listing: bool,
+    /// The removals of entries while its process did not read them.
+    pub(super) unread_removals: Vec<ListingChange>,
+    /// How often its process has read them.
+    pub(super) listing_reads: u64,
     /// The number of heartbeats written to the store so far.
     pub(super) heartbeats: u64,
     /// The site's time of the next scheduled wake-up.
@@ -76,6 +83,9 @@
             is_cut_from_store: false,
             is_leaving: false,
             frozen_events: Vec::new(),
+            reads_listing: true,
+            unread_removals: Vec::new(),
+            listing_reads: 0,
             heartbeats: 0,
             wakes_at: None,
         }
@@ -95,6 +105,9 @@
         self.started_at = now;
         self.is_leaving = false;
         self.frozen_events.clear();
+        self.reads_listing = true;
+        self.unread_removals.clear();
+        self.listing_reads = 0;
         let settings = RunSettings {
             instance: self.name.clone(),
             data_centre: self.data_centre.clone(),
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -15,6 +15,7 @@
 use almondhead_lib::runs::job_spec::JobSpec;
 use almondhead_lib::runs::listed_upstream::ListedUpstream;
 use almondhead_lib::runs::listed_upstream::ListingChange;
+use almondhead_lib::runs::listed_upstream::ListingRead;
 use almondhead_lib::runs::resources::Resources;
 use almondhead_lib::runs::roster::Member;
 use almondhead_lib::runs::roster::Roster;
@@ -506,9 +507,7 @@
         let mut listed = (*state.listed).clone();
         listed.draining = true;
         state.listed = Arc::new(listed);
-        for delivered in &mut self.delivered_listings {
-            delivered.swap_remove(&state.listed.id);
-        }
+        self.list_again(upstream);
     }
 
     /// Delivers a version of the intended state with these queues to one instance.
@@ -529,27 +528,37 @@
         let mut listed = (*state.listed).clone();
         listed.labels.push(Arc::from(label));
         state.listed = Arc::new(listed);
-        for delivered in &mut self.delivered_listings {
-            delivered.swap_remove(&state.listed.id);
-        }
+        self.list_again(upstream);
     }
 
     /// Reports an upstream as removed from the list to all instances, as when its entry has
     /// expired, while the upstream goes on running.
     pub fn delist(&mut self, upstream: usize) {
+        self.store_version += 1;
+        let version = self.store_version;
         let id = self.upstreams[upstream].listed.id.clone();
         for node in 0..self.nodes.len() {
-            let removed = ListingChange::Removed(id.clone());
-            self.deliver(node, RunEvent::UpstreamsListed(vec![removed]));
+            let removed = ListingChange {
+                id: id.clone(),
+                version,
+                upstream: None,
+            };
+            if !self.nodes[node].reads_listing {
+                self.nodes[node].unread_removals.push(removed);
+                continue;
+            }
+            let read = ListingRead {
+                is_full: false,
+                version,
+                changes: vec![removed],
+            };
+            self.deliver(node, RunEvent::ListingRead(read));
         }
     }
 
     /// Lists a removed upstream again.
     pub fn relist(&mut self, upstream: usize) {
-        let id = self.upstreams[upstream].listed.id.clone();
-        for delivered in &mut self.delivered_listings {
-            delivered.swap_remove(&id);
-        }
+        self.list_again(upstream);
     }
 
     // Observations of tests.
@@ -596,6 +605,17 @@
         dispatcher.map_or(RunCounts::default(), |at| at.status().counts)
     }
 
+    /// Returns how often an instance's process has read the upstreams' entries.
+    pub fn listing_reads(&self, node: usize) -> u64 {
+        self.nodes[node].listing_reads
+    }
+
+    /// Returns the number of upstreams that an instance knows as listed.
+    pub fn listed_upstreams(&self, node: usize) -> usize {
+        let dispatcher = self.nodes[node].dispatcher.as_ref();
+        dispatcher.map_or(0, |dispatcher| dispatcher.status().listed_upstreams)
+    }
+
     /// Returns the number of instances.
     pub fn node_count(&self) -> usize {
         self.nodes.len()
@@ -742,6 +762,7 @@
                     self.roster.swap_remove(&name);
                 }
             }
+            RunAction::ReadListing { is_on, .. } => self.nodes[node].reads_listing = is_on,
             RunAction::SetPeers(_) | RunAction::RegisterAgain => {}
         }
     }
@@ -1063,16 +1084,37 @@
             members: self.roster.values().cloned().collect(),
         };
         self.deliver(node, RunEvent::RosterRead(roster));
+        let is_alive = self.nodes[node].dispatcher.is_some();
+        if !is_alive || !self.nodes[node].reads_listing {
+            return;
+        }
+        self.nodes[node].listing_reads += 1;
         let delivered = &mut self.delivered_listings[node];
         let changes = self.upstreams.iter().filter(|state| {
             let is_down = state.fault == Some(UpstreamFault::Down);
             !is_down && delivered.insert(state.listed.id.clone())
         });
-        let changes: Vec<ListingChange> = changes
-            .map(|state| ListingChange::Listed(state.listed.clone()))
-            .collect();
-        if !changes.is_empty() {
-            self.deliver(node, RunEvent::UpstreamsListed(changes));
+        let changes = changes.map(|state| ListingChange {
+            id: state.listed.id.clone(),
+            version: state.listing_version,
+            upstream: Some(state.listed.clone()),
+        });
+        let changes = changes.chain(std::mem::take(&mut self.nodes[node].unread_removals));
+        let read = ListingRead {
+            is_full: false,
+            version: self.store_version,
+            changes: changes.collect(),
+        };
+        self.deliver(node, RunEvent::ListingRead(read));
+    }
+
+    /// Records that an upstream's entry has changed, so that instances read it again.
+    fn list_again(&mut self, upstream: usize) {
+        self.store_version += 1;
+        let state = &mut self.upstreams[upstream];
+        state.listing_version = self.store_version;
+        for delivered in &mut self.delivered_listings {
+            delivered.swap_remove(&state.listed.id);
         }
     }
 }
--- a/lib/testsupport/src/run_site/upstream.rs
+++ b/lib/testsupport/src/run_site/upstream.rs
@@ -72,6 +72,8 @@
     pub(super) renews: Vec<WaitingRenew>,
     /// The number of runs started so far.
     pub(super) starts: u64,
+    /// The version of the store at which its entry last changed.
+    pub(super) listing_version: u64,
     /// The number of restarts so far.
     pub(super) incarnation: u64,
     /// When the current incarnation started, in the site's time.
@@ -108,6 +110,7 @@
             newest_ended: IndexMap::new(),
             renews: Vec::new(),
             starts: 0,
+            listing_version: 1,
             incarnation: 0,
             started_at: Timestamp::ZERO,
             clock_offset_ms: CLOCK_OFFSET_MS,
