platform: name all rows that there are when a table was read whole

A feed that went on after a version known from other instances knows no keys of rows that it skipped, so that their removal would be missed after the store dropped its history. The listing compares the names instead. feed_rereads_table_after_dropped_history failed while rows were passed on twice for this.

--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -128,11 +128,12 @@
         let dispatcher = RunDispatcher::new(run_settings, Box::new(StoredIntendedDecoder));
         executor::spawn(RunDriver::new(dispatcher, Clock::start(), commands, effects).run());
         let key = shared_key(&store, &settings).await;
-        let (transport, incoming) = TcpTransport::start(PeerSettings {
+        let peer_settings = PeerSettings {
             identity: identity.clone(),
             listen: settings.peer_address,
             key: key.to_vec(),
-        })?;
+        };
+        let (transport, incoming) = TcpTransport::start(peer_settings)?;
         peers.start(transport);
         executor::spawn(receive_messages(incoming, handle.clone()));
         executor::spawn(watch_intended(Arc::clone(&store), Arc::clone(&sink)));
@@ -148,16 +149,13 @@
             settings.data_centre,
             settings.peer_address,
         );
-        let (leave, leaving) = async_channel::bounded(1);
-        let (deregistered_sender, deregistered) = async_channel::bounded(1);
-        let registered =
-            keep_registered(session, sink, registrations, leaving, deregistered_sender);
-        executor::spawn(registered);
+        let grace = Duration::from_millis(leased.stop_grace_ms);
+        let (leave, deregistered) = spawn_registration(session, sink, registrations);
         Ok(RunProcess {
             handle,
             stopping,
             callers,
-            grace: Duration::from_millis(leased.stop_grace_ms),
+            grace,
             leave,
             deregistered,
         })
@@ -266,6 +264,20 @@
     }
 }
 
+/// Starts to keep the process registered; returns what makes it leave, and what reports that its row
+/// has been removed.
+fn spawn_registration(
+    session: RosterSession,
+    sink: EventSink,
+    registrations: Receiver<()>,
+) -> (async_channel::Sender<()>, Receiver<()>) {
+    let (leave, leaving) = async_channel::bounded(1);
+    let (deregistered_sender, deregistered) = async_channel::bounded(1);
+    let registered = keep_registered(session, sink, registrations, leaving, deregistered_sender);
+    executor::spawn(registered);
+    (leave, deregistered)
+}
+
 /// Sends heartbeats for this instance's row in the roster until the process leaves, announces the
 /// leave, and removes the row once `leaving` is closed.
 async fn keep_registered(
--- a/lib/src/runs/listed_upstream.rs
+++ b/lib/src/runs/listed_upstream.rs
@@ -49,8 +49,8 @@
 /// What a read of the upstreams' entries brought.
 #[value]
 pub struct ListingRead {
-    /// Whether the changes are all entries that there are, rather than those that have changed.
-    pub is_full: bool,
+    /// The names of all upstreams with an entry, if all entries were read.
+    pub all_ids: Option<Vec<Arc<str>>>,
     /// The version of the store up to which every change has been read.
     pub version: u64,
     /// The entries that have changed.
--- a/lib/src/runs/upstream_listing.rs
+++ b/lib/src/runs/upstream_listing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::listed_upstream::ListedUpstream;
 use super::listed_upstream::ListingChange;
@@ -73,9 +74,9 @@
     /// Applies a read of the list; returns what it changed.
     pub(crate) fn apply_read(&mut self, now: Timestamp, read: ListingRead) -> AppliedChanges {
         let mut changes = read.changes;
-        if read.is_full {
-            let is_read = |id: &str| changes.iter().any(|change| &*change.id == id);
-            let removed = self.listed.keys().filter(|id| !is_read(id));
+        if let Some(all_ids) = read.all_ids {
+            let all_ids: IndexSet<Arc<str>> = all_ids.into_iter().collect();
+            let removed = self.listed.keys().filter(|id| !all_ids.contains(*id));
             let removed: Vec<ListingChange> = removed
                 .map(|id| ListingChange {
                     id: id.clone(),
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -548,7 +548,7 @@
                 continue;
             }
             let read = ListingRead {
-                is_full: false,
+                all_ids: None,
                 version,
                 changes: vec![removed],
             };
@@ -1101,7 +1101,7 @@
         });
         let changes = changes.chain(std::mem::take(&mut self.nodes[node].unread_removals));
         let read = ListingRead {
-            is_full: false,
+            all_ids: None,
             version: self.store_version,
             changes: changes.collect(),
         };
