--- a/entry/src/peer_inbox.rs
+++ b/entry/src/peer_inbox.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use almondhead_lib::peer_envelope::Envelope;
@@ -162,10 +164,14 @@
         if let Err(end) = self.greet(&mut stream, number).await {
             return end;
         }
-        match self.read_messages(&mut stream).await {
-            Ok(()) => ConnectionEnd::Closed,
-            Err(end) => end,
-        }
+        let reads = AtomicU64::new(0);
+        let read = async {
+            match self.read_messages(&mut stream, &reads).await {
+                Ok(()) => ConnectionEnd::Closed,
+                Err(end) => end,
+            }
+        };
+        or(read, watch_idle(&reads)).await
     }
 
     async fn greet(&self, stream: &mut TcpStream, number: u64) -> Result<(), ConnectionEnd> {
@@ -188,12 +194,22 @@
     }
 
     /// Reads messages and delivers them; a full channel applies backpressure to the sibling.
-    async fn read_messages(&self, stream: &mut TcpStream) -> Result<(), ConnectionEnd> {
+    ///
+    /// Counts its reads in `reads`.
+    async fn read_messages(
+        &self,
+        stream: &mut TcpStream,
+        reads: &AtomicU64,
+    ) -> Result<(), ConnectionEnd> {
         let mut frames = PeerFrames::default();
         let mut received = BytesMut::new();
         let mut chunk = vec![0; READ_BYTES];
         loop {
-            let read_bytes = read_in_time(stream, &mut chunk).await?;
+            let read_bytes = stream.read(&mut chunk).await?;
+            if read_bytes == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+            reads.fetch_add(1, Ordering::Relaxed);
             received.extend_from_slice(&chunk[..read_bytes]);
             while let Some(message) = frames
                 .next(&mut received)
@@ -280,17 +296,14 @@
     }
 }
 
-/// Reads at least one byte.
-async fn read_in_time(stream: &mut TcpStream, chunk: &mut [u8]) -> io::Result<usize> {
-    let read = async {
-        match stream.read(chunk).await? {
-            0 => Err(io::ErrorKind::UnexpectedEof.into()),
-            read_bytes => Ok(read_bytes),
-        }
-    };
-    let timeout = async {
+/// Ends when nothing has been read for [`IDLE_TIMEOUT`]. One timer for many reads: a connection is read
+/// several times a second.
+async fn watch_idle(reads: &AtomicU64) -> ConnectionEnd {
+    loop {
+        let before = reads.load(Ordering::Relaxed);
         Timer::after(IDLE_TIMEOUT).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    or(read, timeout).await
+        if reads.load(Ordering::Relaxed) == before {
+            return io::Error::from(io::ErrorKind::TimedOut).into();
+        }
+    }
 }
