entry: repeat a stop while its task's attempt has not ended

What callers saw: none; a task ran on for a caller that had left, and held a slot until its deadline. Cause: the stop goes over another connection than the start and may arrive first; upstreams pass over ids that do not run.

--- a/entry/src/upstream_client.rs
+++ b/entry/src/upstream_client.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -25,7 +26,9 @@
 use almondhead_net::header::HeaderName;
 use almondhead_net::header::HeaderValue;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use serde::Serialize;
+use smol::Timer;
 
 use crate::clock::Clock;
 use crate::spans::Hop;
@@ -44,11 +47,24 @@
 /// How long a request to stop tasks may take.
 const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The delays before tasks that still have not ended are stopped again.
+///
+/// A stop may overtake its task's start, which goes over another connection, and upstreams pass over
+/// the ids of tasks that do not run.
+const STOP_RETRY_DELAYS: [Duration; 4] = [
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+    Duration::from_millis(500),
+    Duration::from_secs(2),
+];
+
 /// Runs attempts over pooled connections to the upstreams.
 pub(crate) struct UpstreamClient {
     clock: Clock,
     spans: Spans,
     clients: Mutex<IndexMap<ClientKind, Arc<HttpClient>>>,
+    /// The tasks whose attempts have not ended.
+    open_tasks: Mutex<IndexSet<TaskId>>,
 }
 
 /// The body of a request to stop tasks.
@@ -70,11 +86,19 @@
             clock,
             spans,
             clients: Mutex::default(),
+            open_tasks: Mutex::default(),
         }
     }
 
     /// Runs one attempt to its end; it is not started once `start_before` has passed.
     pub(crate) async fn run(&self, attempt: &Attempt) -> AttemptEnd {
+        lock(&self.open_tasks).insert(attempt.task);
+        let end = self.run_attempt(attempt).await;
+        lock(&self.open_tasks).swap_remove(&attempt.task);
+        end
+    }
+
+    async fn run_attempt(&self, attempt: &Attempt) -> AttemptEnd {
         let mut span = self
             .spans
             .start(Hop::Attempt, attempt.traceparent.as_deref());
@@ -97,8 +121,25 @@
         end
     }
 
-    /// Asks an upstream to stop tasks; the ends of their attempts report whether they stopped.
+    /// Asks an upstream to stop tasks, repeatedly while their attempts have not ended; the ends report
+    /// whether they stopped.
     pub(crate) async fn stop(&self, target: &UpstreamTarget, tasks: &[TaskId]) {
+        self.send_stop(target, tasks).await;
+        for delay in STOP_RETRY_DELAYS {
+            Timer::after(delay).await;
+            let open: Vec<TaskId> = {
+                let open_tasks = lock(&self.open_tasks);
+                let open = tasks.iter().filter(|task| open_tasks.contains(*task));
+                open.copied().collect()
+            };
+            if open.is_empty() {
+                return;
+            }
+            self.send_stop(target, &open).await;
+        }
+    }
+
+    async fn send_stop(&self, target: &UpstreamTarget, tasks: &[TaskId]) {
         let stop = StopRequest {
             task_ids: tasks.iter().map(ToString::to_string).collect(),
         };
@@ -119,7 +160,7 @@
             http2: target.http2,
             connections: target.connections.max(1),
         };
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut clients = lock(&self.clients);
         let client = clients
             .entry(kind)
             .or_insert_with(|| Arc::new(HttpClient::new(kind.http_settings())));
@@ -140,6 +181,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns the path that stops tasks: `stop` in place of the last segment of `run_path`.
 fn stop_path(run_path: &str) -> String {
     let parent = run_path.rsplit_once('/').map_or("", |(parent, _)| parent);
--- a/entry/tests/caller_limits.rs
+++ b/entry/tests/caller_limits.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use almondhead_net::Method;
+use almondhead_testsupport::UpstreamFaults;
 use almondhead_testsupport::site::NORTH;
 use almondhead_testsupport::site::Site;
 use almondhead_testsupport::site::TestResult;
@@ -197,3 +198,28 @@
         Ok(())
     })
 }
+
+/// Guards against a task that runs on for nobody because its stop overtook its start on the way to the
+/// upstream.
+#[test]
+fn stop_that_overtakes_its_start_is_repeated() -> TestResult {
+    smol::block_on(async {
+        let site = start_limited_site().await?;
+        site.upstreams[0].set_faults(UpstreamFaults {
+            start_delay_ms: 150,
+            ..UpstreamFaults::default()
+        });
+        let body = job(1, 10_000).to_string();
+        let request = raw_task(&body, body.len());
+        let mut stream = TcpStream::connect(site.entries[0].caller_address)?;
+        stream.write_all(request.as_bytes())?;
+        site.wait_for_status(0, "running_attempts", 1).await?;
+        drop(stream);
+        site.wait_for_status(0, "running_attempts", 0).await?;
+        let report = site.upstreams[0].report();
+        assert_eq!(report.counters.late_starts, 1);
+        let stops: u64 = report.tasks.iter().map(|task| task.stops).sum();
+        assert_eq!(stops, 1);
+        Ok(())
+    })
+}
--- a/lib/testsupport/src/upstream/faults.rs
+++ b/lib/testsupport/src/upstream/faults.rs
@@ -16,6 +16,8 @@
     pub wrong_task_id: bool,
     /// Refuses each task with an answer that states that it has not run.
     pub refuse_all: bool,
+    /// Delays each start, in milliseconds; a stop that comes before it stops nothing.
+    pub start_delay_ms: u64,
     /// Delays each answer after the run, in milliseconds.
     pub delay_ms: u64,
     /// Multiplies each task's run time; values up to 1 have no effect.
@@ -32,6 +34,7 @@
             cut_body: false,
             wrong_task_id: false,
             refuse_all: false,
+            start_delay_ms: 0,
             delay_ms: 0,
             slow_factor: 1.0,
             limit_tasks: None,
--- a/lib/testsupport/src/upstream/handler.rs
+++ b/lib/testsupport/src/upstream/handler.rs
@@ -52,6 +52,11 @@
         };
         let traceparent = header(&conn, TRACEPARENT);
         let parsed = serde_json::from_slice::<TaskInput>(&input).unwrap_or_default();
+        let start_delay_ms = self.state.start_delay_ms();
+        if start_delay_ms > 0 {
+            self.state.count(|counters| counters.late_starts += 1);
+            Timer::after(Duration::from_millis(start_delay_ms)).await;
+        }
         match self.state.admit(&task_id, parsed.marker, traceparent) {
             Admission::Refused => conn
                 .with_status(Status::ServiceUnavailable)
--- a/lib/testsupport/src/upstream/messages.rs
+++ b/lib/testsupport/src/upstream/messages.rs
@@ -84,6 +84,8 @@
     pub cut_bodies: u64,
     /// Answers with another task's id by the fault `wrong_task_id`.
     pub wrong_task_ids: u64,
+    /// Starts delayed by the fault `start_delay_ms`.
+    pub late_starts: u64,
     /// Answers delayed by the fault `delay_ms`.
     pub delayed: u64,
     /// Tasks slowed down by the fault `slow_factor`.
--- a/lib/testsupport/src/upstream/state.rs
+++ b/lib/testsupport/src/upstream/state.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns how long the next start is delayed.
+    pub(crate) fn start_delay_ms(&self) -> u64 {
+        lock(&self.inner).faults.start_delay_ms
+    }
+
     pub(crate) fn set_faults(&self, faults: UpstreamFaults) {
         lock(&self.inner).faults = faults;
     }
