--- a/lib/src/runs/upstream_listing.rs
+++ b/lib/src/runs/upstream_listing.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamListing {
     listed: IndexMap<Arc<str>, Arc<ListedUpstream>>,
-    /// The version of the last change of each upstream, listed or removed, the oldest change first.
+    /// The version of the last change of each upstream, listed or removed.
     ///
     /// Changes arrive from the store and from other instances, in any order.
     versions: IndexMap<Arc<str>, u64>,
@@ -139,18 +139,21 @@
         is_changed || was_pending
     }
 
-    /// Forgets the versions of upstreams that were removed long ago.
+    /// Forgets the earlier half of the removals when there are too many.
     fn forget_old_versions(&mut self) {
         let listed = &self.listed;
-        let excess = self.versions.len().saturating_sub(listed.len());
-        if excess > MAX_REMOVED_VERSIONS {
-            let mut to_forget = excess - MAX_REMOVED_VERSIONS / 2;
-            self.versions.retain(|id, _| {
-                let is_kept = to_forget == 0 || listed.contains_key(id);
-                to_forget -= usize::from(!is_kept);
-                is_kept
-            });
+        if self.versions.len() <= listed.len() + MAX_REMOVED_VERSIONS {
+            return;
         }
+        let removed = self
+            .versions
+            .iter()
+            .filter(|(id, _)| !listed.contains_key(*id));
+        let mut removed: Vec<u64> = removed.map(|(_, version)| *version).collect();
+        removed.sort_unstable();
+        let oldest_kept = removed[removed.len() / 2];
+        self.versions
+            .retain(|id, version| *version >= oldest_kept || listed.contains_key(id));
     }
 
     /// Until when an upstream whose entry is removed now may list itself again; none when the removal
--- a/lib/tests/listing_relay.rs
+++ b/lib/tests/listing_relay.rs
@@ -1,8 +1,21 @@
 //! Bounded dissemination: two instances of a data centre read the upstreams' entries, the others hear
 //! from them, and read for themselves where they do not.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use almondhead_lib::id::Incarnation;
+use almondhead_lib::runs::event::RunEvent;
+use almondhead_lib::runs::intended_state::IntendedState;
+use almondhead_lib::runs::listed_upstream::ListedUpstream;
+use almondhead_lib::runs::listed_upstream::ListingChange;
+use almondhead_lib::runs::listed_upstream::ListingRead;
+use almondhead_lib::runs::resources::Resources;
+use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
+use almondhead_lib::runs::run_dispatcher::RunDispatcher;
+use almondhead_lib::runs::run_settings::RunLimits;
+use almondhead_lib::runs::run_settings::RunSettings;
+use almondhead_lib::time::Timestamp;
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::run_job;
@@ -175,3 +188,68 @@
             .all(|listed| listed == 2 * UPSTREAMS - 1)
     );
 }
+
+/// Decodes nothing: the intended state plays no part here.
+#[derive(Debug)]
+struct NoDecoder;
+
+impl IntendedDecoder for NoDecoder {
+    fn decode(&self, _body: &[u8]) -> Option<IntendedState> {
+        None
+    }
+}
+
+fn listing_read(version: u64, changes: Vec<ListingChange>) -> RunEvent {
+    RunEvent::ListingRead(ListingRead {
+        all_ids: None,
+        version,
+        changes,
+    })
+}
+
+/// Guards against an upstream that has left being listed again by an old change, because the change
+/// that removed it was forgotten before those that are older.
+#[test]
+fn last_removal_is_remembered_longest() {
+    let settings = RunSettings {
+        instance: Arc::from("entry"),
+        data_centre: Arc::from("dc"),
+        incarnation: Incarnation(1),
+        limits: RunLimits::default(),
+    };
+    let mut dispatcher = RunDispatcher::new(settings, Box::new(NoDecoder));
+    let now = Timestamp::from_us(1_000);
+    let listed = |id: &str, version| ListingChange {
+        id: Arc::from(id),
+        version,
+        upstream: Some(Arc::new(ListedUpstream {
+            id: Arc::from(id),
+            service: Arc::from("work"),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            data_centre: Arc::from("dc"),
+            draining: false,
+            capacity: Resources::default(),
+            labels: Vec::new(),
+            born_unix_ms: None,
+        })),
+    };
+    let removed = |id: &str, version| ListingChange {
+        id: Arc::from(id),
+        version,
+        upstream: None,
+    };
+    // The upstream is the first that was listed, and the last that was removed.
+    let mut events = vec![listing_read(1, vec![listed("first", 1)])];
+    let others = |versions: std::ops::Range<u64>| {
+        let others = versions.map(|version| removed(&format!("up-{version}"), version));
+        others.collect()
+    };
+    events.push(listing_read(7_500, others(2..7_501)));
+    events.push(listing_read(7_501, vec![removed("first", 7_501)]));
+    events.push(listing_read(11_000, others(7_502..9_600)));
+    events.push(listing_read(11_001, vec![listed("first", 5_999)]));
+    for event in events {
+        dispatcher.handle(now, event, &mut Vec::new());
+    }
+    assert_eq!(dispatcher.status().listed_upstreams, 0);
+}
