runs: move what follows changes of the listing out of the dispatcher

run_dispatcher had grown past one job, and a read and an update applied changes in two ways; now both go through one step. A read of heartbeats alone no longer reassigns upstreams; reads of the roster do that twice a second anyway. All tests of lib pass unchanged.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -21,6 +21,7 @@
 mod leased_upstream;
 pub mod listed_upstream;
 pub mod listing_relay;
+mod listing_updates;
 mod neighbours;
 mod owner;
 mod owner_answers;
--- /dev/null
+++ b/lib/src/runs/listing_updates.rs
@@ -0,0 +1,69 @@
+//! What the dispatcher does with changes of the upstreams' entries, read here or by another instance.
+
+use super::listed_upstream::ListingRead;
+use super::listing_relay::ListingUpdate;
+use super::run_action::RunAction;
+use super::run_dispatcher::RunDispatcher;
+use super::run_message::RunMessage;
+use super::upstream_listing::AppliedChanges;
+
+impl RunDispatcher {
+    /// Applies a read of the upstreams' entries, and passes on what it changed where this instance
+    /// reads for others.
+    pub(crate) fn handle_listing_read(&mut self, read: ListingRead) {
+        let version = read.version;
+        let applied = self.listing.apply_read(self.now, read);
+        self.follow_listing(&applied);
+        let Some(after) = self.listing_relay.record_read(self.now, version) else {
+            return;
+        };
+        let update = ListingUpdate {
+            after,
+            version,
+            changes: applied.deciding,
+        };
+        let receivers = self.listing_relay.receivers();
+        let receivers = receivers.filter_map(|name| self.peers.by_name(name));
+        for receiver in receivers.collect::<Vec<_>>() {
+            self.send(receiver, RunMessage::Listing(update.clone()));
+        }
+    }
+
+    /// Applies what another instance has read of the upstreams' entries.
+    pub(crate) fn handle_listing_update(&mut self, sender: &str, update: ListingUpdate) {
+        let relay = &mut self.listing_relay;
+        if !relay.record_update(self.now, sender, &update) {
+            tracing::info!(
+                instance = sender,
+                after = update.after,
+                known = relay.version(),
+                "changes of the listing missed: reading it"
+            );
+            return;
+        }
+        let applied = self.listing.apply(self.now, update.changes);
+        self.follow_listing(&applied);
+    }
+
+    /// Takes over and releases upstreams as the changes of the listing require.
+    fn follow_listing(&mut self, applied: &AppliedChanges) {
+        self.forget_upstreams(&applied.gone);
+        if !applied.deciding.is_empty() {
+            self.assign_upstreams();
+        }
+    }
+
+    /// Starts or stops to read the upstreams' entries.
+    pub(crate) fn switch_listing_reads(&mut self) {
+        let is_on = self.listing_relay.must_read(self.now);
+        if is_on != self.reads_listing {
+            self.reads_listing = is_on;
+            let known_version = self.listing_relay.version();
+            tracing::info!(is_on, known_version, "reading of the listing switched");
+            self.actions.push(RunAction::ReadListing {
+                is_on,
+                known_version,
+            });
+        }
+    }
+}
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -13,9 +13,7 @@
 use super::home::HomeOutput;
 use super::home_job::Unfinished;
 use super::intended_state::IntendedState;
-use super::listed_upstream::ListingRead;
 use super::listing_relay::ListingRelay;
-use super::listing_relay::ListingUpdate;
 use super::neighbours::neighbours;
 use super::owner::Owner;
 use super::owner::OwnerNotice;
@@ -116,9 +114,9 @@
     decoder: Box<dyn IntendedDecoder>,
     pub(crate) roster: Roster,
     assignment: OwnAssignment,
-    listing_relay: ListingRelay,
+    pub(crate) listing_relay: ListingRelay,
     /// Whether the process was last told to read the upstreams' entries.
-    reads_listing: bool,
+    pub(crate) reads_listing: bool,
     pub(crate) roster_watch: super::roster_watch::RosterWatch,
     timers: TimerService<DispatcherTimer>,
     pause_guard: PauseGuard,
@@ -312,61 +310,7 @@
         self.send_reports();
     }
 
-    /// Applies a read of the upstreams' entries, and passes on what it changed where this instance
-    /// reads for others.
-    fn handle_listing_read(&mut self, read: ListingRead) {
-        let version = read.version;
-        let applied = self.listing.apply_read(self.now, read);
-        self.forget_upstreams(&applied.gone);
-        self.assign_upstreams();
-        let Some(after) = self.listing_relay.record_read(self.now, version) else {
-            return;
-        };
-        let update = ListingUpdate {
-            after,
-            version,
-            changes: applied.deciding,
-        };
-        let receivers = self.listing_relay.receivers();
-        let receivers = receivers.filter_map(|name| self.peers.by_name(name));
-        for receiver in receivers.collect::<Vec<_>>() {
-            self.send(receiver, RunMessage::Listing(update.clone()));
-        }
-    }
-
-    /// Applies what another instance has read of the upstreams' entries.
-    fn handle_listing_update(&mut self, sender: &str, update: ListingUpdate) {
-        let relay = &mut self.listing_relay;
-        if !relay.record_update(self.now, sender, &update) {
-            tracing::info!(
-                instance = sender,
-                after = update.after,
-                known = relay.version(),
-                "changes of the listing missed: reading it"
-            );
-            return;
-        }
-        let applied = self.listing.apply(self.now, update.changes);
-        self.forget_upstreams(&applied.gone);
-        if !applied.deciding.is_empty() {
-            self.assign_upstreams();
-        }
-    }
-
-    /// Starts or stops to read the upstreams' entries.
-    fn switch_listing_reads(&mut self) {
-        let is_on = self.listing_relay.must_read(self.now);
-        if is_on != self.reads_listing {
-            self.reads_listing = is_on;
-            tracing::info!(is_on, "reading of the listing switched");
-            self.actions.push(RunAction::ReadListing {
-                is_on,
-                known_version: self.listing_relay.version(),
-            });
-        }
-    }
-
-    fn forget_upstreams(&mut self, gone: &[Arc<str>]) {
+    pub(crate) fn forget_upstreams(&mut self, gone: &[Arc<str>]) {
         for id in gone {
             tracing::info!(upstream = %id, "upstream gone");
             self.owner.release_unlisted(id);
