entry: accept all siblings that connect at the same moment

After a restart of the site all siblings connect at once. The accepting task took every waiting connection without letting another task run, so that with one executor thread, as deployed, the oldest of more than 64 were closed as strangers before the greeting that they had sent was read: at 147 instances more than half had to try again. It now yields after each.

--- a/entry/src/peer_inbox.rs
+++ b/entry/src/peer_inbox.rs
@@ -27,6 +27,7 @@
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
+use futures_lite::future::yield_now;
 use indexmap::IndexMap;
 use smol::Timer;
 use smol::net::TcpListener;
@@ -46,8 +47,9 @@
 /// one, so that strangers cannot keep siblings out.
 const MAX_UNGREETED: usize = 64;
 
-/// Maximum number of connections of siblings: three for each of several hundred.
-const MAX_GREETED: usize = 1_024;
+/// Maximum number of connections of siblings: one for each of 1,443 instances, which a site is to
+/// grow to, and some spare ones. The links to as many siblings and these fit into 4,096 descriptors.
+const MAX_GREETED: usize = 2_048;
 
 /// How long a connection may be silent. Its sibling opens another when it has something to send.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -120,6 +122,9 @@
                     let (number, closed) = self.lock().add();
                     let inbox = Arc::clone(&self);
                     executor::spawn(inbox.handle(stream, address, number, closed));
+                    // Lets the connection read its greeting before the next ones count against it:
+                    // after a restart of the site all siblings connect at the same moment.
+                    yield_now().await;
                 }
                 Err(error) => {
                     tracing::warn!(%error, "peer connection not accepted");
