entry: count peer messages whose writing a broken connection cut off

When the sibling closed the connection while messages were being written, these were counted neither as sent nor as lost. The link counts what it is writing, and whether it is idle follows from that and its queue.

--- a/entry/src/peer_link.rs
+++ b/entry/src/peer_link.rs
@@ -67,7 +67,8 @@
 #[derive(Debug, Default)]
 struct LinkState {
     is_connected: bool,
-    is_sending: bool,
+    /// The number of messages taken from the queue whose writing has not ended.
+    writing: usize,
     queue: PeerQueue,
 }
 
@@ -96,7 +97,8 @@
 
     /// Returns whether every accepted message has been handed to the network or lost.
     pub(crate) fn is_idle(&self) -> bool {
-        !self.shared.lock().is_sending
+        let state = self.shared.lock();
+        state.writing == 0 && state.queue.is_empty()
     }
 
     /// Sends a sealed message after those that are queued.
@@ -108,7 +110,6 @@
         if !state.queue.push(message) {
             return Err(LinkRefusal::QueueFull);
         }
-        state.is_sending = true;
         // Fails when the writer has already been woken.
         self.wake.try_send(()).ok();
         Ok(())
@@ -185,20 +186,16 @@
         let mut frames = PeerFrames::default();
         let mut bytes = BytesMut::new();
         loop {
-            let messages = self.next_messages(&mut frames, &mut bytes)?;
-            if messages == 0 {
+            self.take_messages(&mut frames, &mut bytes)?;
+            if bytes.is_empty() {
                 if woken.recv().await.is_err() {
                     return Ok(());
                 }
                 continue;
             }
-            let written = stream.write_all(&bytes).await;
-            let count = match &written {
-                Ok(()) => PeerCount::Sent,
-                Err(_) => PeerCount::Lost,
-            };
-            self.counters.add(count, messages);
-            written?;
+            stream.write_all(&bytes).await?;
+            let written = std::mem::take(&mut self.lock().writing);
+            self.counters.add(PeerCount::Sent, written);
             // Frees the memory of a large message.
             match bytes.capacity() > MAX_WRITE_BYTES {
                 true => bytes = BytesMut::new(),
@@ -207,18 +204,16 @@
         }
     }
 
-    /// Moves queued messages into the bytes to send and returns their number.
-    fn next_messages(&self, frames: &mut PeerFrames, bytes: &mut BytesMut) -> io::Result<usize> {
+    /// Moves queued messages into the bytes to send.
+    fn take_messages(&self, frames: &mut PeerFrames, bytes: &mut BytesMut) -> io::Result<()> {
         let mut state = self.lock();
-        let mut messages = 0;
         while bytes.len() < MAX_WRITE_BYTES
             && let Some(message) = state.queue.pop()
         {
-            messages += 1;
+            state.writing += 1;
             frames.append(message, bytes)?;
         }
-        state.is_sending = messages > 0;
-        Ok(messages)
+        Ok(())
     }
 
     /// Drops the queued messages: after a reconnect they would arrive after their senders had given
@@ -226,8 +221,8 @@
     fn on_disconnected(&self) {
         let mut state = self.lock();
         state.is_connected = false;
-        state.is_sending = false;
-        let dropped = state.queue.clear();
+        // Messages whose writing was cut off count as lost, whether or not they arrived.
+        let dropped = state.queue.clear() + std::mem::take(&mut state.writing);
         self.counters.add(PeerCount::Lost, dropped);
     }
 
--- a/entry/src/peer_queue.rs
+++ b/entry/src/peer_queue.rs
@@ -37,6 +37,11 @@
         Some(message)
     }
 
+    /// Whether no message is queued.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.messages.is_empty()
+    }
+
     /// Drops all messages and returns how many there were.
     pub(crate) fn clear(&mut self) -> usize {
         let dropped = self.messages.len();
