--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -398,14 +398,9 @@
             match &event {
                 // The real process sees that a connection has ended before it delivers its request.
                 RunEvent::Requested { request, .. } if dropped.contains(request) => {}
-                RunEvent::RequestDropped { .. } => self.schedule(
-                    DISCONNECT_READ_DELAY,
-                    ScheduledEvent::Event {
-                        node,
-                        incarnation,
-                        event,
-                    },
-                ),
+                RunEvent::RequestDropped { .. } => {
+                    self.schedule_event(DISCONNECT_READ_DELAY, node, incarnation, event);
+                }
                 _ => self.deliver(node, event),
             }
         }
@@ -437,14 +432,7 @@
         for HeldMessage { sender, message } in held.unwrap_or_default() {
             let event = RunEvent::PeerMessage { sender, message };
             let node = to;
-            self.schedule(
-                PEER_DELAY,
-                ScheduledEvent::Event {
-                    node,
-                    incarnation,
-                    event,
-                },
-            );
+            self.schedule_event(PEER_DELAY, node, incarnation, event);
         }
     }
 
@@ -663,6 +651,16 @@
             .insert((self.now + after, self.next_event_number), scheduled);
     }
 
+    /// Delivers an event to this incarnation of a node after a while.
+    fn schedule_event(&mut self, after: Duration, node: usize, incarnation: u64, event: RunEvent) {
+        let event = ScheduledEvent::Event {
+            node,
+            incarnation,
+            event,
+        };
+        self.schedule(after, event);
+    }
+
     fn process(&mut self, scheduled: ScheduledEvent) {
         match scheduled {
             ScheduledEvent::Event {
@@ -817,14 +815,7 @@
             let instance = Arc::from(to);
             let event = RunEvent::PeerNotSent { instance, message };
             let incarnation = self.nodes[from].incarnation;
-            return self.schedule(
-                Duration::ZERO,
-                ScheduledEvent::Event {
-                    node: from,
-                    incarnation,
-                    event,
-                },
-            );
+            return self.schedule_event(Duration::ZERO, from, incarnation, event);
         }
         let sender = PeerIdentity {
             instance: self.nodes[from].name.clone(),
@@ -836,14 +827,7 @@
         }
         let event = RunEvent::PeerMessage { sender, message };
         let incarnation = self.nodes[node].incarnation;
-        self.schedule(
-            PEER_DELAY,
-            ScheduledEvent::Event {
-                node,
-                incarnation,
-                event,
-            },
-        );
+        self.schedule_event(PEER_DELAY, node, incarnation, event);
     }
 
     fn send_order(&mut self, node: usize, order: OrderId, upstream: usize, run_order: RunOrder) {
@@ -998,14 +982,7 @@
             return;
         }
         let event = RunEvent::OrderAnswered { order, answer };
-        self.schedule(
-            after,
-            ScheduledEvent::Event {
-                node,
-                incarnation,
-                event,
-            },
-        );
+        self.schedule_event(after, node, incarnation, event);
     }
 
     /// Ends the runs of an upstream that are over, and answers the renew orders that wait for that.
