--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -39,6 +39,7 @@
 use super::run_settings::RunSettings;
 use super::run_status::RunStatus;
 use super::upstream_listing::UpstreamListing;
+use super::whole_ms::whole_ms;
 use crate::event::PeerIdentity;
 use crate::id::Incarnation;
 use crate::id::RequestId;
@@ -230,11 +231,20 @@
 
     /// Starts to catch up if the process was paused until now.
     fn check_pause(&mut self) {
-        let Some(until) = self.pause_guard.record_event(self.now) else {
+        let Some(pause) = self.pause_guard.record_event(self.now) else {
             return;
         };
-        tracing::warn!("process was paused: starting nothing until it has caught up");
-        self.timers.subscribe(until, DispatcherTimer::CaughtUp);
+        let (paused_ms, catch_up_ms) = (
+            whole_ms(pause.gap),
+            whole_ms(pause.catches_up_at.since(self.now)),
+        );
+        tracing::warn!(
+            paused_ms,
+            catch_up_ms,
+            "process was paused: starting nothing until it has caught up"
+        );
+        self.timers
+            .subscribe(pause.catches_up_at, DispatcherTimer::CaughtUp);
     }
 
     fn run_timers(&mut self) {
