runs: tell crashes of upstreams from silence, in logs, metrics and reports

A run that is lost with its upstream left the line 'run lost, lease_over' whether the upstream had crashed, was cut off or was silent, and nothing said which runs shared it.

Orders now tell a refused connection and a connection that ended from other losses. Two connections refused in a row, or the next incarnation's answer, show a crash; the owner logs it with its runs and their ages, and reports it to all instances, which count crashes by task. No decision depends on it yet.

--- a/entry/src/decision_metrics.rs
+++ b/entry/src/decision_metrics.rs
@@ -12,6 +12,7 @@
     retried: IntCounterVec,
     found_ends: IntCounterVec,
     orphaned: IntCounter,
+    upstream_crashes: IntCounter,
 }
 
 impl DecisionMetrics {
@@ -41,11 +42,17 @@
             "Runs that may go on while no owner in reach answers for them.",
         )?;
         registry.register(Box::new(orphaned.clone()))?;
+        let upstream_crashes = IntCounter::new(
+            "almondhead_upstream_crashes_total",
+            "Crashes of upstreams that this instance owns.",
+        )?;
+        registry.register(Box::new(upstream_crashes.clone()))?;
         Ok(DecisionMetrics {
             given_up,
             retried,
             found_ends,
             orphaned,
+            upstream_crashes,
         })
     }
 
@@ -64,5 +71,6 @@
             copy(&self.found_ends.with_label_values(&[end]), count);
         }
         copy(&self.orphaned, counts.orphaned());
+        copy(&self.upstream_crashes, counts.upstream_crashes());
     }
 }
--- a/entry/src/run_metrics.rs
+++ b/entry/src/run_metrics.rs
@@ -210,6 +210,8 @@
         OrderAnswer::Done { .. } | OrderAnswer::Renewed(_) => "done",
         OrderAnswer::Refused { .. } => "refused",
         OrderAnswer::NotSent => "not_sent",
+        OrderAnswer::NoListener => "no_listener",
         OrderAnswer::Lost => "lost",
+        OrderAnswer::Disconnected => "disconnected",
     }
 }
--- a/lib/src/peer_codec.rs
+++ b/lib/src/peer_codec.rs
@@ -5,6 +5,7 @@
 
 mod address;
 mod batch;
+mod crash;
 mod field;
 mod listing;
 mod outcome;
--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -93,6 +93,7 @@
             Kind::IntendedRequest(proto::IntendedRequest { have_version })
         }
         RunMessage::Listing(update) => Kind::Listing(update.into()),
+        RunMessage::Crash(report) => Kind::Crash(report.into()),
         RunMessage::IntendedBody { version, body } => {
             Kind::IntendedBody(proto::IntendedBody { version, body })
         }
@@ -134,6 +135,7 @@
             have_version: request.have_version,
         },
         Kind::Listing(update) => RunMessage::Listing(update.try_into()?),
+        Kind::Crash(report) => RunMessage::Crash(report.try_into()?),
         Kind::IntendedBody(body) => RunMessage::IntendedBody {
             version: body.version,
             body: body.body,
@@ -172,6 +174,7 @@
             demands: batch.demands.into_iter().map(Into::into).collect(),
             tasks: batch.tasks.into_iter().map(Into::into).collect(),
             is_begun: batch.has_begun,
+            queue: batch.queue.to_string(),
         }
     }
 }
@@ -191,6 +194,7 @@
             demands: decode_list("run_batch.demands", batch.demands, MAX_TASKS)?,
             tasks: decode_list("run_batch.tasks", batch.tasks, MAX_TASKS)?,
             has_begun: batch.is_begun,
+            queue: name("run_batch.queue", batch.queue)?,
         })
     }
 }
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -426,7 +426,10 @@
     #[prost(fixed64, tag = "12")]
     pub receiver: u64,
     /// The kinds of message.
-    #[prost(oneof = "timed_run_message::Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 13")]
+    #[prost(
+        oneof = "timed_run_message::Kind",
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 13, 14"
+    )]
     pub kind: ::core::option::Option<timed_run_message::Kind>,
 }
 /// Nested message and enum types in `TimedRunMessage`.
@@ -464,6 +467,9 @@
         /// Changes of the upstreams' entries.
         #[prost(message, tag = "13")]
         Listing(super::ListingUpdate),
+        /// A crash of an upstream that the sender owns.
+        #[prost(message, tag = "14")]
+        Crash(super::CrashReport),
     }
 }
 /// An amount of processor, memory and accelerators.
@@ -512,6 +518,9 @@
     /// Whether other tasks of the job run or have run.
     #[prost(bool, tag = "10")]
     pub is_begun: bool,
+    /// The name of the job's queue.
+    #[prost(string, tag = "11")]
+    pub queue: ::prost::alloc::string::String,
 }
 /// What the tasks of one step need.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -687,6 +696,32 @@
     #[prost(bool, tag = "3")]
     pub failed: bool,
 }
+/// A crash of an upstream and the runs that it ended.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashReport {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// The fence of the orders to the incarnation that crashed.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// The runs.
+    #[prost(message, repeated, tag = "3")]
+    pub runs: ::prost::alloc::vec::Vec<CrashedRun>,
+}
+/// A run that a crash of its upstream ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashedRun {
+    /// The run.
+    #[prost(message, optional, tag = "1")]
+    pub run: ::core::option::Option<RunId>,
+    /// The queue of its job.
+    #[prost(string, tag = "2")]
+    pub queue: ::prost::alloc::string::String,
+    /// The time from its start order to the crash.
+    #[prost(uint64, tag = "3")]
+    pub age_us: u64,
+}
 /// Changes of the upstreams' entries that the sender has read.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ListingUpdate {
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -7,6 +7,9 @@
 
 mod admitting;
 mod assignment;
+mod crash_evidence;
+mod crash_register;
+pub mod crash_report;
 pub mod event;
 mod found_run;
 mod held_batch;
@@ -26,6 +29,7 @@
 mod owner;
 mod owner_answers;
 mod owner_choice;
+mod owner_crashes;
 mod pause_guard;
 mod peer_table;
 mod placing;
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -27,6 +27,8 @@
     pub(crate) number: u64,
     pub(crate) job: JobId,
     pub(crate) service: Arc<str>,
+    /// The name of the job's queue.
+    pub(crate) queue: Arc<str>,
     /// The job's text, sent with each start.
     pub(crate) payload: Arc<str>,
     /// The rank of the job's queue, zero first.
@@ -95,6 +97,7 @@
             number: batch.number,
             job: batch.job,
             service: batch.service,
+            queue: batch.queue,
             payload: batch.payload,
             priority: batch.priority,
             objective_at_us: now_us.saturating_add(batch.objective_left_us),
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use slotmap::SlotMap;
 
+use super::crash_register::CrashRegister;
 use super::found_run::FoundRun;
 use super::home_job::HomeJob;
 use super::home_job::Unfinished;
@@ -136,6 +137,8 @@
     pub(crate) timers: TimerService<HomeTimer>,
     pub(crate) outputs: Vec<HomeOutput>,
     pub(crate) counts: RunCounts,
+    /// The crashes of upstreams that are known here.
+    pub(crate) crashes: CrashRegister,
     /// Whether something changed since waiting tasks were last placed.
     is_dirty: bool,
     /// When a stopping instance answers all jobs that are still open.
@@ -309,7 +312,10 @@
         }
         match &end {
             RunEnd::Done { .. } => tracing::debug!(job = %job.id, run = %run, "task done"),
-            other => tracing::warn!(job = %job.id, run = %run, end = ?other, "task not done"),
+            other => {
+                let crashes = self.crashes.crash_count(run.task);
+                tracing::warn!(job = %job.id, run = %run, end = ?other, crashes, "task not done");
+            }
         }
         if !matches!(end, RunEnd::NotStarted(_)) {
             job.may_have_run = true;
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -224,6 +224,7 @@
             demands: demands.collect(),
             tasks: placed.collect(),
             has_begun: self.has_begun || self.may_have_run,
+            queue: self.queue.name.clone(),
         }
     }
 }
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -3,6 +3,7 @@
 //! Progress is judged by the upstream's clock alone: reports may wait on a slow link or while this
 //! process is paused, and a run must not look slow because news of it is.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::held_batch::TaskIndex;
@@ -44,6 +45,8 @@
     /// Whether its upstream has restarted since its start was ordered: although the next incarnation
     /// does not list it, it may have run in the one before.
     pub(crate) has_seen_restart: bool,
+    /// The name of its job's queue.
+    pub(crate) queue: Arc<str>,
     /// The capacity that it takes up.
     pub(crate) resources: Resources,
     pub(crate) phase: RunPhase,
@@ -112,6 +115,7 @@
 impl LeasedRun {
     pub(crate) fn starting(
         task: (HeldBatchKey, TaskIndex),
+        queue: Arc<str>,
         resources: Resources,
         expected_run_time: Duration,
         now: Timestamp,
@@ -120,6 +124,7 @@
             task: Some(task),
             dropped_batch: None,
             has_seen_restart: false,
+            queue,
             resources,
             phase: RunPhase::Starting,
             ordered_at: now,
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::crash_evidence::CrashEvidence;
 use super::learned_speed::LearnedSpeed;
 use super::leased_run::LeasedRun;
 use super::listed_upstream::ListedUpstream;
@@ -90,6 +91,8 @@
     pub(crate) is_renew_pending: bool,
     /// Whether the last renew order extended no lease because no home had claimed a run.
     pub(crate) awaits_claim: bool,
+    /// What shows whether its process has ended.
+    pub(crate) crash_evidence: CrashEvidence,
 }
 
 impl LeasedUpstream {
@@ -115,6 +118,7 @@
             has_missed_renew: false,
             is_renew_pending: false,
             awaits_claim: false,
+            crash_evidence: CrashEvidence::default(),
         }
     }
 
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use slotmap::SlotMap;
 
+use super::crash_report::CrashReport;
 use super::held_batch::DoneRun;
 use super::held_batch::HeldBatch;
 use super::held_batch::HeldState;
@@ -95,6 +96,8 @@
         running: Vec<RunId>,
         ended: Vec<FoundEnd>,
     },
+    /// An upstream crashed, for all instances.
+    Crash(CrashReport),
 }
 
 /// An order that was sent and not answered yet.
@@ -239,7 +242,7 @@
         }
         upstream.listed = listed.clone();
         if upstream.born_unix_ms.is_some() && listed.born_unix_ms > upstream.born_unix_ms {
-            self.begin_incarnation(upstream_key, listed.born_unix_ms);
+            self.begin_incarnation(now, upstream_key, listed.born_unix_ms);
             self.renew(now, upstream_key);
         }
     }
@@ -396,7 +399,9 @@
             return false;
         }
         batch.tasks[task].state = HeldState::Running(upstream_key);
-        let mut leased = LeasedRun::starting((batch_key, task), demand, expected_run_time, now);
+        let queue = batch.queue.clone();
+        let mut leased =
+            LeasedRun::starting((batch_key, task), queue, demand, expected_run_time, now);
         leased.phase = RunPhase::Active {
             since_order: OrderId(self.next_order_id),
         };
@@ -729,7 +734,7 @@
         let run = batch.run(task);
         let step_demand = batch.step_demand(task);
         let (demand, expected) = (step_demand.resources, batch.expected_run_time(task));
-        let payload = batch.payload.clone();
+        let (queue, payload) = (batch.queue.clone(), batch.payload.clone());
         let waited_ms = whole_ms(now.since(batch.accepted_at));
         batch.tasks[task].state = HeldState::Running(upstream_key);
         batch.has_begun = true;
@@ -739,7 +744,7 @@
         let Some(lease_until_ms) = upstream.extend_lease(now, lease) else {
             return self.requeue(Some((batch_key, task)), None);
         };
-        let leased = LeasedRun::starting((batch_key, task), demand, expected, now);
+        let leased = LeasedRun::starting((batch_key, task), queue, demand, expected, now);
         upstream.runs.insert(run, leased);
         if upstream.runs.len() == 1 {
             // The pending renew order may wait long, and its answer may be lost.
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::crash_evidence::CrashEvidence;
 use super::held_batch::TaskIndex;
 use super::leased_run::LeasedRun;
 use super::leased_run::RunPhase;
@@ -91,6 +92,7 @@
             return self.superseded_start_answered(now, order, &answer);
         }
         self.read_clock(now, upstream_key, &answer);
+        self.record_crash_evidence(now, pending, &answer);
         match pending.kind {
             PendingKind::Start(run) => self.start_answered(now, upstream_key, run, answer),
             PendingKind::Stop(run) => self.stop_answered(now, upstream_key, run, &answer),
@@ -110,6 +112,7 @@
                 self.probe_answered(now, upstream_key, answered, answer);
             }
         }
+        self.check_crash(now, upstream_key);
     }
 
     /// Handles the answer to a start that was in flight when its upstream got a newer owner.
@@ -119,7 +122,9 @@
             return;
         };
         match answer {
-            OrderAnswer::Refused { .. } | OrderAnswer::NotSent => self.requeue(Some(task), None),
+            OrderAnswer::Refused { .. } | OrderAnswer::NotSent | OrderAnswer::NoListener => {
+                self.requeue(Some(task), None);
+            }
             _ => self.hand_over(now, task, &upstream),
         }
     }
@@ -180,14 +185,14 @@
                     }
                 }
             }
-            OrderAnswer::Lost => {
+            OrderAnswer::Lost | OrderAnswer::Disconnected => {
                 if leased.phase == RunPhase::Starting {
                     tracing::warn!(job = %run.task.job, run = %run, "start not answered");
                     leased.phase = RunPhase::Uncertain { since_order };
                 }
                 self.probe(now, upstream_key);
             }
-            OrderAnswer::NotSent => {
+            OrderAnswer::NotSent | OrderAnswer::NoListener => {
                 self.start_refused(now, upstream_key, run, None);
                 self.mark_unreachable(now, upstream_key);
             }
@@ -461,7 +466,7 @@
         let upstream = &mut self.upstreams[upstream_key];
         let is_first_report = upstream.contact == Contact::TakingOver;
         if upstream.born_unix_ms.is_some() && report.born_unix_ms != upstream.born_unix_ms {
-            self.begin_incarnation(upstream_key, report.born_unix_ms);
+            self.begin_incarnation(now, upstream_key, report.born_unix_ms);
         }
         let upstream = &mut self.upstreams[upstream_key];
         upstream.born_unix_ms = report.born_unix_ms.or(upstream.born_unix_ms);
@@ -829,10 +834,13 @@
     /// runs that its next report does not list are lost.
     pub(crate) fn begin_incarnation(
         &mut self,
+        now: Timestamp,
         upstream_key: LeasedUpstreamKey,
         born_unix_ms: Option<u64>,
     ) {
+        self.report_crash(now, upstream_key, "restarted");
         let upstream = &mut self.upstreams[upstream_key];
+        upstream.crash_evidence = CrashEvidence::default();
         let id = &upstream.listed.id;
         tracing::warn!(upstream = %id, ?born_unix_ms, "upstream restarted");
         upstream.born_unix_ms = born_unix_ms;
--- /dev/null
+++ b/lib/src/runs/owner_crashes.rs
@@ -0,0 +1,83 @@
+//! How an owner finds out that an upstream has crashed.
+
+use super::crash_report::CrashReport;
+use super::crash_report::CrashedRun;
+use super::owner::Owner;
+use super::owner::OwnerNotice;
+use super::owner::PendingOrder;
+use super::run_id::LeasedUpstreamKey;
+use super::run_order::OrderAnswer;
+use super::whole_ms::whole_ms;
+use crate::time::Timestamp;
+
+impl Owner {
+    /// Records what an answer shows about whether the upstream's process goes on.
+    pub(crate) fn record_crash_evidence(
+        &mut self,
+        now: Timestamp,
+        pending: PendingOrder,
+        answer: &OrderAnswer,
+    ) {
+        let evidence = &mut self.upstreams[pending.upstream].crash_evidence;
+        match answer {
+            OrderAnswer::NoListener => evidence.record_refusal(now, pending.sent_at),
+            OrderAnswer::Done { .. } | OrderAnswer::Renewed(_) | OrderAnswer::Refused { .. } => {
+                evidence.record_answer();
+            }
+            OrderAnswer::Disconnected => evidence.record_disconnect(now),
+            OrderAnswer::NotSent | OrderAnswer::Lost => {}
+        }
+    }
+
+    /// Reports the crash of an upstream whose process has ended, once.
+    pub(crate) fn check_crash(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
+        let upstream = self.upstreams.get(upstream_key);
+        if upstream.is_some_and(|upstream| upstream.crash_evidence.has_ended()) {
+            self.report_crash(now, upstream_key, "no_listener");
+        }
+    }
+
+    /// Reports the crash of an upstream with the runs that it ended, once for each incarnation.
+    ///
+    /// An upstream that is draining ends its process by itself.
+    pub(crate) fn report_crash(
+        &mut self,
+        now: Timestamp,
+        upstream_key: LeasedUpstreamKey,
+        evidence: &str,
+    ) {
+        let upstream = &mut self.upstreams[upstream_key];
+        if std::mem::replace(&mut upstream.crash_evidence.is_reported, true)
+            || upstream.listed.draining
+        {
+            return;
+        }
+        let ended_at = upstream.crash_evidence.ended_at(now);
+        let runs = upstream.runs.iter().map(|(run, leased)| CrashedRun {
+            run: *run,
+            queue: leased.queue.clone(),
+            age: ended_at.since(leased.ordered_at),
+        });
+        let report = CrashReport {
+            upstream: upstream.listed.id.clone(),
+            fence: upstream.fence,
+            runs: runs.collect(),
+        };
+        let newest = report.newest_run();
+        tracing::warn!(
+            upstream = %report.upstream, fence = report.fence, evidence, runs = report.runs.len(),
+            newest_run = newest.map(|newest| newest.run.to_string()),
+            newest_queue = newest.map(|newest| &*newest.queue),
+            newest_age_ms = newest.map(|newest| whole_ms(newest.age)),
+            "upstream crashed"
+        );
+        for crashed in &report.runs {
+            tracing::warn!(
+                job = %crashed.run.task.job, run = %crashed.run, upstream = %report.upstream,
+                age_ms = whole_ms(crashed.age), runs = report.runs.len(),
+                "run on a crashed upstream"
+            );
+        }
+        self.notices.push(OwnerNotice::Crash(report));
+    }
+}
--- a/lib/src/runs/run_counts.rs
+++ b/lib/src/runs/run_counts.rs
@@ -22,6 +22,7 @@
     found_failed: u64,
     found_lost: u64,
     pub(crate) orphaned: u64,
+    pub(crate) upstream_crashes: u64,
 }
 
 impl RunCounts {
@@ -82,6 +83,11 @@
         ]
     }
 
+    /// How often an upstream that this instance owns has crashed.
+    pub fn upstream_crashes(&self) -> u64 {
+        self.upstream_crashes
+    }
+
     /// How often a run was orphaned: it may go on, and no reachable owner reports it.
     pub fn orphaned(&self) -> u64 {
         self.orphaned
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -569,6 +569,11 @@
                 };
                 self.broadcast(&found);
             }
+            OwnerNotice::Crash(report) => {
+                self.home.counts.upstream_crashes += 1;
+                self.home.crashes.record(self.now, &report);
+                self.broadcast(&RunMessage::Crash(report));
+            }
         }
     }
 
@@ -651,6 +656,7 @@
             }
             RunMessage::Report(report) if is_fresh => self.handle_report(peer, home, report),
             RunMessage::Report(_) => {}
+            RunMessage::Crash(report) => self.home.crashes.record(now, &report),
             RunMessage::Listing(update) => {
                 self.handle_listing_update(&sender.instance, update);
             }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -10,6 +10,7 @@
 
 use almondhead_macros::value;
 
+use super::crash_report::CrashReport;
 use super::listing_relay::ListingUpdate;
 use super::resources::Resources;
 use super::run_digest::RunDigest;
@@ -84,6 +85,9 @@
         /// The version that the sender has; zero when it has none.
         have_version: u64,
     },
+    /// An upstream that the sender owns has crashed.
+    #[display("crash of {} with {} runs", _0.upstream, _0.runs.len())]
+    Crash(CrashReport),
     /// Changes of the upstreams' entries that the sender has read.
     #[display("{} changes of the listing up to version {}", _0.changes.len(), _0.version)]
     Listing(ListingUpdate),
@@ -120,6 +124,8 @@
     pub tasks: Vec<PlacedTask>,
     /// Whether other tasks of the job are running or have run.
     pub has_begun: bool,
+    /// The name of the job's queue.
+    pub queue: Arc<str>,
 }
 
 /// What the tasks of one step need.
--- a/lib/src/runs/run_order.rs
+++ b/lib/src/runs/run_order.rs
@@ -73,8 +73,14 @@
     },
     /// It was not sent, so it is certainly not carried out.
     NotSent,
-    /// No answer came: it may have been carried out, or may be carried out later.
+    /// It was not sent: the upstream's address refused the connection, so that no process listened
+    /// there.
+    NoListener,
+    /// No answer came in time: it may have been carried out, or may be carried out later.
     Lost,
+    /// The connection ended without an answer: it may have been carried out, or may be carried out
+    /// later as long as the upstream's process goes on.
+    Disconnected,
 }
 
 /// Why an upstream refused an order.
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -149,6 +149,10 @@
     RenewWaitOver(usize),
     /// Lets a node write its heartbeat and read the roster and the list of upstreams.
     ReadStore(usize),
+    /// Crashes the upstream if the run of a deadly task is still in progress there.
+    Crash { upstream: usize, run: RunId },
+    /// Starts a crashed upstream again.
+    Restart(usize),
 }
 
 /// A simulated site in virtual time.
@@ -191,6 +195,10 @@
     submissions: IndexMap<String, u32>,
     /// The number of submissions of each job that were answered as not run.
     not_run_answers: IndexMap<String, u32>,
+    /// The ids of the jobs whose first task crashes upstreams.
+    deadly_jobs: IndexSet<String>,
+    /// The number of crashes by deadly job.
+    crashes: IndexMap<String, usize>,
     violations: Vec<String>,
     /// The number of orders sent so far.
     orders: u64,
@@ -202,6 +210,10 @@
 const PEER_DELAY: Duration = Duration::from_micros(900);
 /// The one-way delay between an instance and an upstream.
 const ORDER_DELAY: Duration = Duration::from_micros(400);
+/// How long after its start a deadly task crashes its upstream.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
+/// How long an upstream stays down that a deadly task has crashed.
+const CRASH_TIME: Duration = Duration::from_secs(3);
 /// How long an instance waits for the answer to a start or stop order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long an instance waits for the answer to a renew order beyond the wait that the order
@@ -256,6 +268,8 @@
             started_jobs: IndexSet::new(),
             submissions: IndexMap::new(),
             not_run_answers: IndexMap::new(),
+            deadly_jobs: IndexSet::new(),
+            crashes: IndexMap::new(),
             violations: Vec::new(),
             orders: 0,
             messages: 0,
@@ -474,11 +488,30 @@
     /// Sets the fault of an upstream, or ends it with `None`.
     pub fn set_upstream_fault(&mut self, upstream: usize, fault: Option<UpstreamFault>) {
         self.upstreams[upstream].fault = fault;
-        if fault == Some(UpstreamFault::Down) {
+        if fault == Some(UpstreamFault::Crashed) {
+            self.disconnect_orders(upstream);
+        }
+        if fault.is_some_and(UpstreamFault::is_down) {
             self.upstreams[upstream].reset(self.now);
         }
     }
 
+    /// Crashes an upstream, which starts again [`CRASH_TIME`] later.
+    pub fn crash_upstream(&mut self, upstream: usize) {
+        self.set_upstream_fault(upstream, Some(UpstreamFault::Crashed));
+        self.schedule(CRASH_TIME, ScheduledEvent::Restart(upstream));
+    }
+
+    /// Makes each run of a job's first task crash its upstream [`CRASH_DELAY`] after its start.
+    pub fn set_deadly(&mut self, id: &str) {
+        self.deadly_jobs.insert(id.to_owned());
+    }
+
+    /// The upstreams that deadly tasks have crashed so far, by job.
+    pub fn crashes(&self, id: &str) -> usize {
+        self.crashes.get(id).copied().unwrap_or(0)
+    }
+
     /// Restarts an upstream under the same name, as a new incarnation without its runs.
     pub fn restart_upstream(&mut self, upstream: usize) {
         let state = &mut self.upstreams[upstream];
@@ -699,6 +732,8 @@
             } => {
                 self.answer_order(node, incarnation, order, OrderAnswer::Lost, Duration::ZERO);
             }
+            ScheduledEvent::Crash { upstream, run } => self.crash(upstream, run),
+            ScheduledEvent::Restart(upstream) => self.restart_upstream(upstream),
             ScheduledEvent::Advance(upstream) => self.advance(upstream),
             ScheduledEvent::RenewWaitOver(upstream) => self.answer_renews(upstream, false),
             ScheduledEvent::ReadStore(node) => {
@@ -881,8 +916,13 @@
         run_order: &RunOrder,
         is_answered: bool,
     ) {
-        if self.upstreams[upstream].fault == Some(UpstreamFault::Down) {
-            return;
+        match self.upstreams[upstream].fault {
+            Some(UpstreamFault::Down) => return,
+            Some(UpstreamFault::Crashed) => {
+                let refused = OrderAnswer::NoListener;
+                return self.answer_order(node, incarnation, order, refused, ORDER_DELAY);
+            }
+            _ => {}
         }
         self.advance(upstream);
         let now = self.now;
@@ -954,6 +994,9 @@
         let was_running = self.upstreams[upstream].runs.contains_key(&run);
         self.upstreams[upstream].start(self.now, &request)?;
         let job = run.task.job.to_string();
+        if !was_running && run.task.index == 0 && self.deadly_jobs.contains(&job) {
+            self.schedule(CRASH_DELAY, ScheduledEvent::Crash { upstream, run });
+        }
         self.started_jobs.insert(job.clone());
         self.check_not_run_answers(&job);
         for other in 0..self.upstreams.len() {
@@ -970,6 +1013,27 @@
         Ok(())
     }
 
+    fn crash(&mut self, upstream: usize, run: RunId) {
+        if self.upstreams[upstream].runs.contains_key(&run) {
+            *self.crashes.entry(run.task.job.to_string()).or_default() += 1;
+            self.crash_upstream(upstream);
+        }
+    }
+
+    /// Ends the connections of the renew orders that wait at an upstream.
+    fn disconnect_orders(&mut self, upstream: usize) {
+        for renew in std::mem::take(&mut self.upstreams[upstream].renews) {
+            let answer = OrderAnswer::Disconnected;
+            self.answer_order(
+                renew.node,
+                renew.incarnation,
+                renew.order,
+                answer,
+                ORDER_DELAY,
+            );
+        }
+    }
+
     fn answer_order(
         &mut self,
         node: usize,
@@ -1000,7 +1064,7 @@
     fn answer_renews(&mut self, upstream: usize, all: bool) {
         let now = self.now;
         let state = &mut self.upstreams[upstream];
-        if state.fault == Some(UpstreamFault::Down) {
+        if state.fault.is_some_and(UpstreamFault::is_down) {
             return;
         }
         let due: Vec<WaitingRenew> = state
@@ -1068,7 +1132,7 @@
         self.nodes[node].listing_reads += 1;
         let delivered = &mut self.delivered_listings[node];
         let changes = self.upstreams.iter().filter(|state| {
-            let is_down = state.fault == Some(UpstreamFault::Down);
+            let is_down = state.fault.is_some_and(UpstreamFault::is_down);
             !is_down && delivered.insert(state.listed.id.clone())
         });
         let changes = changes.map(|state| ListingChange {
--- a/lib/testsupport/src/run_site/upstream.rs
+++ b/lib/testsupport/src/run_site/upstream.rs
@@ -27,6 +27,15 @@
     Slow(f64),
     /// It has lost all its runs and answers nothing.
     Down,
+    /// Its process has ended: it has lost all its runs, and its address refuses connections.
+    Crashed,
+}
+
+impl UpstreamFault {
+    /// Whether no process runs its tasks and takes its orders.
+    pub(super) fn is_down(self) -> bool {
+        matches!(self, UpstreamFault::Down | UpstreamFault::Crashed)
+    }
 }
 
 /// A run on an upstream.
--- a/net/src/http/error.rs
+++ b/net/src/http/error.rs
@@ -88,3 +88,23 @@
     #[error(source)]
     pub failure: Failure,
 }
+
+impl ExchangeError {
+    /// Whether the peer's address refused the connection, so that no process listens there.
+    pub fn is_connection_refused(&self) -> bool {
+        let is_refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+        self.step == Step::Connect
+            && matches!(&self.failure, Failure::Socket(error) if is_refused(error))
+    }
+
+    /// Whether the connection ended during the exchange, instead of staying open without an answer.
+    pub fn is_disconnected(&self) -> bool {
+        let is_exchanging = matches!(self.step, Step::Exchange | Step::ReadBody);
+        is_exchanging
+            && match &self.failure {
+                Failure::Socket(_) => true,
+                Failure::Connection(error) => !error.is_parse(),
+                _ => false,
+            }
+    }
+}
