tests: tasks that crash their upstreams; three fail

On the simulated site one task crashes nine upstreams while its caller waits 9 s, a job that its caller submits again after its home was killed crashes four, and a task whose upstream refuses connections is retried after 1 s.

--- /dev/null
+++ b/lib/tests/deadly_tasks.rs
@@ -0,0 +1,116 @@
+//! Tasks that crash every upstream that starts them.
+
+use std::time::Duration;
+
+use almondhead_lib::runs::run_answer::JobEnd;
+use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_testsupport::run_site::RunSite;
+use almondhead_testsupport::run_site::SitePlan;
+use almondhead_testsupport::run_site::run_job;
+
+const DEADLY: &str = "00000000000000d1";
+const OTHER: &str = "00000000000000a1";
+
+/// After this many crashes under a task it must not start again.
+const MAX_CRASHES: usize = 3;
+
+/// A site with three instances and this many upstreams for each, whose callers wait this long.
+fn started(upstreams: u32, caller_wait_ms: u64) -> RunSite {
+    let mut site = RunSite::start(&SitePlan::new(3, 1, upstreams));
+    site.set_caller_wait(Some(Duration::from_millis(caller_wait_ms)));
+    site.run_ms(1_000);
+    site
+}
+
+fn end_of(site: &RunSite, id: &str) -> Option<RunAnswer> {
+    site.answer(id).map(|answer| answer.answer.clone())
+}
+
+/// Guards against a task that is passed on from one upstream that it crashes to the next, for as
+/// long as its caller waits.
+#[test]
+fn deadly_task_given_up() {
+    let mut site = started(4, 9_000);
+    site.set_deadly(DEADLY);
+    site.submit(0, "look", DEADLY, &run_job(2, 6_800, 60));
+    site.run_ms(9_500);
+    assert!(
+        site.crashes(DEADLY) <= MAX_CRASHES,
+        "{}",
+        site.crashes(DEADLY)
+    );
+    assert_eq!(
+        end_of(&site, DEADLY),
+        Some(RunAnswer::Ended(JobEnd::Failed))
+    );
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+/// Guards against another home that starts a task over which has crashed upstreams under the first
+/// home, when its caller submits the job again.
+#[test]
+fn deadly_task_not_started_over_elsewhere() {
+    let mut site = started(4, 5_000);
+    site.set_deadly(DEADLY);
+    for attempt in 0..4 {
+        let home = attempt % 3;
+        site.submit(home, "look", DEADLY, &run_job(2, 6_800, 60));
+        site.run_ms(700);
+        site.kill(home);
+        site.run_ms(600);
+        site.start_node(home);
+    }
+    site.run_ms(5_500);
+    assert!(
+        site.crashes(DEADLY) <= MAX_CRASHES,
+        "{}",
+        site.crashes(DEADLY)
+    );
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+/// Guards against runs that wait for their leases to expire although their upstream has crashed and
+/// refuses connections.
+#[test]
+fn crash_noticed_at_once() {
+    let mut site = started(2, 1_500);
+    site.submit(0, "look", OTHER, &run_job(1, 6_800, 200));
+    site.run_ms(100);
+    let crashed = (0..site.upstream_count()).find(|upstream| site.start_count(*upstream) > 0);
+    site.crash_upstream(crashed.expect("the upstream of the only run"));
+    site.run_ms(400);
+    assert_eq!(
+        end_of(&site, OTHER),
+        Some(RunAnswer::Ended(JobEnd::Completed)),
+        "retried at once, it ends 200 ms after the crash"
+    );
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+/// Guards against the loss of jobs whose tasks shared upstreams with deadly tasks, several times in a
+/// row.
+#[test]
+fn neighbours_of_deadly_tasks_complete() {
+    let mut site = started(6, 5_000);
+    let mut others = Vec::new();
+    for round in 0..8 {
+        let deadly = format!("00000000000000d{round}");
+        site.set_deadly(&deadly);
+        for number in 0..4 {
+            let other = format!("0000000000000a{round}{number}");
+            site.submit(number % 3, "look", &other, &run_job(2, 6_800, 300));
+            others.push(other);
+        }
+        site.submit(round % 3, "look", &deadly, &run_job(2, 6_800, 60));
+        site.run_ms(500);
+    }
+    site.run_ms(6_000);
+    for other in others {
+        assert_eq!(
+            end_of(&site, &other),
+            Some(RunAnswer::Ended(JobEnd::Completed)),
+            "{other}"
+        );
+    }
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
