runs: count a refused connection as a crash only after the upstream closed one

A crash closes the open connections first; a network resets them or lets them go silent. The answers 'closed' and 'reset' are told apart for that.

--- a/entry/src/run_metrics.rs
+++ b/entry/src/run_metrics.rs
@@ -212,6 +212,7 @@
         OrderAnswer::NotSent => "not_sent",
         OrderAnswer::NoListener => "no_listener",
         OrderAnswer::Lost => "lost",
-        OrderAnswer::Disconnected => "disconnected",
+        OrderAnswer::Closed => "closed",
+        OrderAnswer::Reset => "reset",
     }
 }
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -45,6 +45,9 @@
     /// Whether its upstream has restarted since its start was ordered: although the next incarnation
     /// does not list it, it may have run in the one before.
     pub(crate) has_seen_restart: bool,
+    /// Whether its start may take effect although the upstream's process has ended: an order without
+    /// an answer may be held outside the process.
+    pub(crate) may_start_late: bool,
     /// The name of its job's queue.
     pub(crate) queue: Arc<str>,
     /// The capacity that it takes up.
@@ -124,6 +127,7 @@
             task: Some(task),
             dropped_batch: None,
             has_seen_restart: false,
+            may_start_late: false,
             queue,
             resources,
             phase: RunPhase::Starting,
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -185,7 +185,8 @@
                     }
                 }
             }
-            OrderAnswer::Lost | OrderAnswer::Disconnected => {
+            OrderAnswer::Lost | OrderAnswer::Closed | OrderAnswer::Reset => {
+                leased.may_start_late = answer != OrderAnswer::Closed;
                 if leased.phase == RunPhase::Starting {
                     tracing::warn!(job = %run.task.job, run = %run, "start not answered");
                     leased.phase = RunPhase::Uncertain { since_order };
@@ -857,6 +858,7 @@
 
     /// Handles an upstream at whose address another one answers: all its runs are lost.
     fn on_upstream_replaced(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
+        self.report_crash(now, upstream_key, "replaced");
         self.on_all_runs_lost(upstream_key, "upstream_replaced");
         self.mark_unreachable(now, upstream_key);
     }
--- a/lib/src/runs/owner_crashes.rs
+++ b/lib/src/runs/owner_crashes.rs
@@ -7,6 +7,7 @@
 use super::owner::PendingOrder;
 use super::run_id::LeasedUpstreamKey;
 use super::run_order::OrderAnswer;
+use super::run_order::OrderRefusal;
 use super::whole_ms::whole_ms;
 use crate::time::Timestamp;
 
@@ -21,10 +22,16 @@
         let evidence = &mut self.upstreams[pending.upstream].crash_evidence;
         match answer {
             OrderAnswer::NoListener => evidence.record_refusal(now, pending.sent_at),
+            OrderAnswer::Closed => evidence.record_closed(now),
+            OrderAnswer::Reset => evidence.record_reset(),
+            // Another process answered.
+            OrderAnswer::Refused {
+                refusal: OrderRefusal::OtherIncarnation,
+                ..
+            } => {}
             OrderAnswer::Done { .. } | OrderAnswer::Renewed(_) | OrderAnswer::Refused { .. } => {
                 evidence.record_answer();
             }
-            OrderAnswer::Disconnected => evidence.record_disconnect(now),
             OrderAnswer::NotSent | OrderAnswer::Lost => {}
         }
     }
@@ -33,7 +40,7 @@
     pub(crate) fn check_crash(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
         let upstream = self.upstreams.get(upstream_key);
         if upstream.is_some_and(|upstream| upstream.crash_evidence.has_ended()) {
-            self.report_crash(now, upstream_key, "no_listener");
+            self.report_crash(now, upstream_key, "connections_closed_and_refused");
         }
     }
 
--- a/lib/src/runs/run_order.rs
+++ b/lib/src/runs/run_order.rs
@@ -73,14 +73,17 @@
     },
     /// It was not sent, so it is certainly not carried out.
     NotSent,
-    /// It was not sent: the upstream's address refused the connection, so that no process listened
-    /// there.
+    /// It was not sent: the connection was refused. No process listens at the upstream's address, or
+    /// the network between refuses connections.
     NoListener,
     /// No answer came in time: it may have been carried out, or may be carried out later.
     Lost,
-    /// The connection ended without an answer: it may have been carried out, or may be carried out
-    /// later as long as the upstream's process goes on.
-    Disconnected,
+    /// The upstream closed the connection without an answer: it may have been carried out, or may be
+    /// carried out later as long as the upstream's process goes on.
+    Closed,
+    /// The connection was reset without an answer, by the upstream or by the network between: it may
+    /// have been carried out, or may be carried out later.
+    Reset,
 }
 
 /// Why an upstream refused an order.
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -1023,7 +1023,7 @@
     /// Ends the connections of the renew orders that wait at an upstream.
     fn disconnect_orders(&mut self, upstream: usize) {
         for renew in std::mem::take(&mut self.upstreams[upstream].renews) {
-            let answer = OrderAnswer::Disconnected;
+            let answer = OrderAnswer::Closed;
             self.answer_order(
                 renew.node,
                 renew.incarnation,
--- a/net/src/http/error.rs
+++ b/net/src/http/error.rs
@@ -97,14 +97,20 @@
             && matches!(&self.failure, Failure::Socket(error) if is_refused(error))
     }
 
-    /// Whether the connection ended during the exchange, instead of staying open without an answer.
-    pub fn is_disconnected(&self) -> bool {
+    /// Whether the peer closed the connection in the middle of the exchange.
+    pub fn is_closed_by_peer(&self) -> bool {
+        matches!(&self.failure, Failure::Connection(error) if error.is_incomplete_message())
+    }
+
+    /// Whether the connection failed in the middle of the exchange, by a reset from the peer or from
+    /// the network between.
+    pub fn is_reset(&self) -> bool {
         let is_exchanging = matches!(self.step, Step::Exchange | Step::ReadBody);
-        is_exchanging
-            && match &self.failure {
-                Failure::Socket(_) => true,
-                Failure::Connection(error) => !error.is_parse(),
-                _ => false,
-            }
+        let is_failed = match &self.failure {
+            Failure::Socket(_) => true,
+            Failure::Connection(error) => !error.is_parse() && !error.is_incomplete_message(),
+            _ => false,
+        };
+        is_exchanging && is_failed
     }
 }
