runs: give up tasks that crash upstreams, and run suspects alone

Cause: a lost run counted as nobody's fault. Its task was retried on the next upstream as long as its caller waited, and anew at each home that got the job.

Every instance now counts the crashes under each task, for a minute, from the owners' reports; a new process asks three others for what they know. The newest run at a crash is suspected, and so is a task that was at two crashes beside newer ones. If an upstream crashes under a task that is alone, and it is the second crash under it, the job fails; it is refused as failed wherever it comes again. So a task that merely shared an upstream is not given up.

--- a/lib/src/peer_codec/crash.rs
+++ b/lib/src/peer_codec/crash.rs
@@ -18,6 +18,7 @@
             upstream: report.upstream.to_string(),
             fence: report.fence,
             runs: report.runs.into_iter().map(Into::into).collect(),
+            ago_us: to_us(report.ago),
         }
     }
 }
@@ -32,6 +33,7 @@
             upstream: name("crash.upstream", report.upstream)?,
             fence: report.fence,
             runs: runs.collect::<Result<_, _>>()?,
+            ago: Duration::from_micros(report.ago_us),
         })
     }
 }
--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -93,7 +93,10 @@
             Kind::IntendedRequest(proto::IntendedRequest { have_version })
         }
         RunMessage::Listing(update) => Kind::Listing(update.into()),
-        RunMessage::Crash(report) => Kind::Crash(report.into()),
+        RunMessage::Crashes(reports) => Kind::Crashes(proto::CrashReports {
+            reports: reports.into_iter().map(Into::into).collect(),
+        }),
+        RunMessage::CrashRequest => Kind::CrashRequest(proto::CrashRequest {}),
         RunMessage::IntendedBody { version, body } => {
             Kind::IntendedBody(proto::IntendedBody { version, body })
         }
@@ -135,7 +138,10 @@
             have_version: request.have_version,
         },
         Kind::Listing(update) => RunMessage::Listing(update.try_into()?),
-        Kind::Crash(report) => RunMessage::Crash(report.try_into()?),
+        Kind::Crashes(crashes) => {
+            RunMessage::Crashes(decode_list("crashes.reports", crashes.reports, MAX_TASKS)?)
+        }
+        Kind::CrashRequest(proto::CrashRequest {}) => RunMessage::CrashRequest,
         Kind::IntendedBody(body) => RunMessage::IntendedBody {
             version: body.version,
             body: body.body,
@@ -237,6 +243,7 @@
             run: task.run_number,
             known_run_us: task.known_run_time.map(to_us),
             avoid: task.avoid.iter().map(ToString::to_string).collect(),
+            is_alone: task.is_alone,
         }
     }
 }
@@ -254,6 +261,7 @@
             run_number: task.run,
             known_run_time: task.known_run_us.map(Duration::from_micros),
             avoid: avoid.collect::<Result<_, _>>()?,
+            is_alone: task.is_alone,
         })
     }
 }
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -428,7 +428,7 @@
     /// The kinds of message.
     #[prost(
         oneof = "timed_run_message::Kind",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 13, 14"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 13, 14, 15"
     )]
     pub kind: ::core::option::Option<timed_run_message::Kind>,
 }
@@ -467,9 +467,12 @@
         /// Changes of the upstreams' entries.
         #[prost(message, tag = "13")]
         Listing(super::ListingUpdate),
-        /// A crash of an upstream that the sender owns.
+        /// Crashes of upstreams.
         #[prost(message, tag = "14")]
-        Crash(super::CrashReport),
+        Crashes(super::CrashReports),
+        /// Ask for the crashes that the receiver knows of.
+        #[prost(message, tag = "15")]
+        CrashRequest(super::CrashRequest),
     }
 }
 /// An amount of processor, memory and accelerators.
@@ -565,6 +568,9 @@
     /// Its run time on an upstream of usual speed in microseconds, where it is known.
     #[prost(uint64, optional, tag = "5")]
     pub known_run_us: ::core::option::Option<u64>,
+    /// Whether it is to run alone on its upstream.
+    #[prost(bool, tag = "6")]
+    pub is_alone: bool,
 }
 /// Runs that run already on an upstream that the receiver has taken over.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -696,6 +702,16 @@
     #[prost(bool, tag = "3")]
     pub failed: bool,
 }
+/// Asks for the crashes that the receiver knows of.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashRequest {}
+/// Crashes of upstreams.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashReports {
+    /// The reports.
+    #[prost(message, repeated, tag = "1")]
+    pub reports: ::prost::alloc::vec::Vec<CrashReport>,
+}
 /// A crash of an upstream and the runs that it ended.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CrashReport {
@@ -708,6 +724,9 @@
     /// The runs.
     #[prost(message, repeated, tag = "3")]
     pub runs: ::prost::alloc::vec::Vec<CrashedRun>,
+    /// The time since the crash.
+    #[prost(uint64, tag = "4")]
+    pub ago_us: u64,
 }
 /// A run that a crash of its upstream ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -30,6 +30,7 @@
 mod owner_answers;
 mod owner_choice;
 mod owner_crashes;
+mod owner_lone_runs;
 mod pause_guard;
 mod peer_table;
 mod placing;
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -13,6 +13,7 @@
 use super::owner_choice::OwnerView;
 use super::owner_choice::choose_owner;
 use super::requesting::not_run;
+use super::run_answer::JobEnd;
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
 use super::run_dispatcher::RunDispatcher;
@@ -43,6 +44,10 @@
         if self.home.join(request, id) {
             return None;
         }
+        if self.home.is_deadly(id, &spec) {
+            tracing::warn!(job = %id, "job refused: it has a task that crashes upstreams");
+            return Some(RunAnswer::Ended(JobEnd::Failed));
+        }
         if self.home.jobs.len() >= self.settings.limits.max_open_jobs {
             return Some(not_run(NotRun::TooManyJobs, Some(MIN_RETRY_AFTER)));
         }
@@ -106,6 +111,7 @@
             let placement_request = PlacementRequest {
                 expected_run_time: *run,
                 is_run_time_known: false,
+                is_alone: false,
                 objective_left: wait,
                 deadline_left: wait,
             };
--- a/lib/src/runs/crash_evidence.rs
+++ b/lib/src/runs/crash_evidence.rs
@@ -28,6 +28,8 @@
     last_refused_at: Option<Timestamp>,
     /// Whether its crash was reported.
     pub(crate) is_reported: bool,
+    /// Whether it crashed under a run that had to be alone.
+    pub(crate) is_by_lone_run: bool,
 }
 
 impl CrashEvidence {
@@ -63,6 +65,12 @@
         self.closed_at.unwrap_or(now)
     }
 
+    /// Whether another attempt to connect can show that its process has ended.
+    pub(crate) fn needs_check(&self, now: Timestamp) -> bool {
+        let is_recent = |closed_at| now.since(closed_at) <= REFUSAL_WINDOW;
+        self.closed_at.is_some_and(is_recent) && !self.has_reset && !self.has_ended()
+    }
+
     /// Whether its process has ended.
     pub(crate) fn has_ended(&self) -> bool {
         self.refusals >= REFUSALS_OF_ENDED_PROCESS && !self.has_reset
--- a/lib/src/runs/crash_register.rs
+++ b/lib/src/runs/crash_register.rs
@@ -6,57 +6,127 @@
 use indexmap::IndexMap;
 
 use super::crash_report::CrashReport;
+use super::crash_report::CrashedRun;
 use super::run_id::TaskName;
 use crate::time::Timestamp;
 
-/// How long a task's crashes are remembered after the latest one. Callers whose job ended unfinished
-/// submit it again 1.3 s later, and wait for up to some seconds.
-const TASK_RETENTION: Duration = Duration::from_secs(60);
+/// How long a crash is remembered. Callers whose job ended unfinished submit it again 1.3 s later, and
+/// wait for up to some seconds.
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// The maximum number of crashes that are remembered.
+const MAX_REPORTS: usize = 1_024;
 
 /// The maximum number of tasks whose crashes are remembered.
 const MAX_TASKS: usize = 4_096;
 
+/// The number of crashes after which a task is given up, where it ran alone at one of them.
+const MAX_CRASHES: usize = 2;
+
+/// The number of crashes after which a task runs alone, although another run was newer at each.
+const MAX_CRASHES_BESIDE_NEWER: usize = 2;
+
 /// The crashes of upstreams under each task.
 #[derive(Debug, Default)]
 pub(crate) struct CrashRegister {
+    /// The reports by upstream and fence, in the order of their arrival.
+    reports: IndexMap<(Arc<str>, u64), KnownCrash>,
     /// By task, in the order of the first crash.
     tasks: IndexMap<TaskName, TaskCrashes>,
 }
 
+#[derive(Debug)]
+struct KnownCrash {
+    report: CrashReport,
+    crashed_at: Timestamp,
+}
+
 /// The crashes at which a task was running.
 #[derive(Debug)]
 struct TaskCrashes {
-    /// The upstream and the fence of each.
-    crashes: Vec<(Arc<str>, u64)>,
+    crashes: Vec<TaskCrash>,
     last_at: Timestamp,
 }
 
+/// A crash at which a task was running.
+#[derive(Debug)]
+struct TaskCrash {
+    /// Whether the task's run was the only one on the upstream.
+    was_alone: bool,
+    /// Whether it was the one that had started last.
+    was_newest: bool,
+}
+
 impl CrashRegister {
     /// Records a crash, which may be reported more than once.
     pub(crate) fn record(&mut self, now: Timestamp, report: &CrashReport) {
-        self.tasks
-            .retain(|_, task| task.last_at + TASK_RETENTION > now);
+        self.tasks.retain(|_, task| task.last_at + RETENTION > now);
+        self.reports
+            .retain(|_, known| known.crashed_at + RETENTION > now);
+        let name = (report.upstream.clone(), report.fence);
+        if report.ago >= RETENTION || self.reports.contains_key(&name) {
+            return;
+        }
+        let crashed_at = Timestamp::ZERO + now.since(Timestamp::ZERO).saturating_sub(report.ago);
+        let known = KnownCrash {
+            report: report.clone(),
+            crashed_at,
+        };
+        self.reports.insert(name, known);
+        if self.reports.len() > MAX_REPORTS {
+            self.reports.shift_remove_index(0);
+        }
         for crashed in &report.runs {
-            let task = self
-                .tasks
-                .entry(crashed.run.task)
-                .or_insert_with(|| TaskCrashes {
-                    crashes: Vec::new(),
-                    last_at: now,
-                });
-            task.last_at = now;
-            let crash = (report.upstream.clone(), report.fence);
-            if !task.crashes.contains(&crash) {
-                task.crashes.push(crash);
-            }
+            self.record_task(crashed_at, report, crashed);
         }
         while self.tasks.len() > MAX_TASKS {
             self.tasks.shift_remove_index(0);
         }
     }
 
+    fn record_task(&mut self, crashed_at: Timestamp, report: &CrashReport, crashed: &CrashedRun) {
+        let task = self
+            .tasks
+            .entry(crashed.run.task)
+            .or_insert_with(|| TaskCrashes {
+                crashes: Vec::new(),
+                last_at: crashed_at,
+            });
+        task.last_at = task.last_at.max(crashed_at);
+        task.crashes.push(TaskCrash {
+            was_alone: report.runs.len() == 1,
+            was_newest: report.newest_run() == Some(crashed),
+        });
+    }
+
+    /// The crashes that are known at this time.
+    pub(crate) fn reports(&self, now: Timestamp) -> Vec<CrashReport> {
+        let reports = self.reports.values().map(|known| CrashReport {
+            ago: now.since(known.crashed_at),
+            ..known.report.clone()
+        });
+        reports.collect()
+    }
+
     /// The number of crashes at which the task was running.
     pub(crate) fn crash_count(&self, task: TaskName) -> usize {
-        self.tasks.get(&task).map_or(0, |task| task.crashes.len())
+        self.crashes(task).len()
+    }
+
+    /// Whether the task may have caused a crash, so that its next run has to be alone: most tasks that
+    /// crash their upstream do so as soon as they start.
+    pub(crate) fn is_suspect(&self, task: TaskName) -> bool {
+        let crashes = self.crashes(task);
+        crashes.iter().any(|crash| crash.was_newest) || crashes.len() >= MAX_CRASHES_BESIDE_NEWER
+    }
+
+    /// Whether the task crashes the upstreams that run it, so that it is not started again.
+    pub(crate) fn is_deadly(&self, task: TaskName) -> bool {
+        let crashes = self.crashes(task);
+        crashes.iter().any(|crash| crash.was_alone) && crashes.len() >= MAX_CRASHES
+    }
+
+    fn crashes(&self, task: TaskName) -> &[TaskCrash] {
+        self.tasks.get(&task).map_or(&[], |task| &task.crashes)
     }
 }
--- a/lib/src/runs/crash_report.rs
+++ b/lib/src/runs/crash_report.rs
@@ -19,6 +19,8 @@
     pub fence: u64,
     /// The runs that were in progress there or may have been.
     pub runs: Vec<CrashedRun>,
+    /// The time since the crash when the report was sent.
+    pub ago: Duration,
 }
 
 /// A run that a crash of its upstream ended.
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -128,6 +128,7 @@
         PlacementRequest {
             expected_run_time: self.expected_run_time(task),
             is_run_time_known: self.tasks[task].placed.known_run_time.is_some(),
+            is_alone: self.tasks[task].placed.is_alone,
             objective_left: self.objective_left(now),
             deadline_left: self.deadline.since(now),
         }
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -211,10 +211,12 @@
         } = new;
         let objective = objective(&queue, &spec, &expected_run_times);
         let deadline = now + wait.saturating_sub(ANSWER_MARGIN);
-        let tasks = (0..)
-            .zip(&spec.steps)
-            .flat_map(|(step, spec)| (0..spec.tasks).map(move |index| HomeTask::new(step, index)));
-        let tasks: Vec<HomeTask> = tasks.collect();
+        let tasks = spec.tasks();
+        let tasks = tasks.map(|(step, index)| HomeTask::new(step, index));
+        let mut tasks: Vec<HomeTask> = tasks.collect();
+        for task in &mut tasks {
+            task.is_alone = self.crashes.is_suspect(task.name(id));
+        }
         let mut job = HomeJob {
             id,
             waiters: vec![request],
@@ -324,11 +326,7 @@
             RunEnd::Done { work } => self.task_done(now, key, task, work),
             RunEnd::Failed { upstream } => self.task_failed(now, key, task, upstream),
             RunEnd::NotStarted(reason) => self.task_not_started(now, key, task, reason),
-            RunEnd::Lost { upstream } => {
-                job.tasks[task].avoid.push(upstream);
-                self.counts.retried_lost += 1;
-                self.retry_task(now, key, task);
-            }
+            RunEnd::Lost { upstream } => self.task_lost(now, key, task, upstream),
             RunEnd::TakenOver { upstream } => self.handle_taken_over(now, key, task, upstream),
             RunEnd::TooSlow { work, upstream } => {
                 job.record_too_slow(task, work, upstream);
@@ -375,6 +373,26 @@
         self.retry_task(now, key, task);
     }
 
+    /// Retries a task that was lost with its run, or fails its job if it crashes upstreams.
+    fn task_lost(&mut self, now: Timestamp, key: HomeJobKey, task: usize, upstream: Arc<str>) {
+        let job = &mut self.jobs[key];
+        let name = job.run(task).task;
+        if self.crashes.is_deadly(name) {
+            return self.end_job(now, key, JobEnd::Failed);
+        }
+        let state = &mut job.tasks[task];
+        state.avoid.push(upstream);
+        state.is_alone = self.crashes.is_suspect(name);
+        self.counts.retried_lost += 1;
+        self.retry_task(now, key, task);
+    }
+
+    /// Whether a task of the job crashes the upstreams that run it.
+    pub(crate) fn is_deadly(&self, id: JobId, spec: &JobSpec) -> bool {
+        let mut tasks = spec.tasks();
+        tasks.any(|(step, index)| self.crashes.is_deadly(HomeTask::new(step, index).name(id)))
+    }
+
     fn task_not_started(
         &mut self,
         now: Timestamp,
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -13,7 +13,6 @@
 use super::run_answer::NotRun;
 use super::run_id::JobId;
 use super::run_id::RunId;
-use super::run_id::TaskName;
 use super::run_message::PlacedTask;
 use super::run_message::RunBatch;
 use super::run_message::StepDemand;
@@ -60,20 +59,10 @@
 impl HomeJob {
     /// The name of a task's current run.
     pub(crate) fn run(&self, task: usize) -> RunId {
-        let HomeTask {
-            step,
-            index,
-            run_number,
-            ..
-        } = self.tasks[task];
+        let task = &self.tasks[task];
         RunId {
-            task: TaskName {
-                job: self.id,
-                occurrence: 0,
-                step,
-                index,
-            },
-            run_number,
+            task: task.name(self.id),
+            run_number: task.run_number,
         }
     }
 
@@ -176,6 +165,7 @@
         PlacementRequest {
             expected_run_time: task.known_run_time.unwrap_or(expected_run_time),
             is_run_time_known: task.known_run_time.is_some(),
+            is_alone: task.is_alone,
             objective_left: self.objective_at.since(now),
             deadline_left: self.deadline.since(now),
         }
@@ -211,6 +201,7 @@
                 run_number: state.run_number,
                 known_run_time: state.known_run_time,
                 avoid: state.avoid.clone(),
+                is_alone: state.is_alone,
             }
         });
         RunBatch {
--- a/lib/src/runs/home_task.rs
+++ b/lib/src/runs/home_task.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use super::owner_choice::OwnerRef;
+use super::run_id::JobId;
+use super::run_id::TaskName;
 use crate::time::Timestamp;
 
 /// How long after the last contact with its owner a run can still go on.
@@ -28,6 +30,8 @@
     pub(crate) suspected_run_time: Option<Duration>,
     /// The upstreams where it failed, was lost or ran too slowly.
     pub(crate) avoid: Vec<Arc<str>>,
+    /// Whether nothing else may run on its upstream, because it may crash it.
+    pub(crate) is_alone: bool,
     pub(crate) state: HomeState,
     /// The upstream of its run, if its owner has reported that another one took the upstream over.
     pub(crate) taken_over_on: Option<Arc<str>>,
@@ -84,12 +88,23 @@
             known_run_time: None,
             suspected_run_time: None,
             avoid: Vec::new(),
+            is_alone: false,
             state: HomeState::Blocked,
             taken_over_on: None,
             unreachable_owner: None,
         }
     }
 
+    /// Its name as a task of this job.
+    pub(crate) fn name(&self, job: JobId) -> TaskName {
+        TaskName {
+            job,
+            occurrence: 0,
+            step: self.step,
+            index: self.index,
+        }
+    }
+
     /// Records that an owner that may go on with the run became unreachable; `since` is the last
     /// contact with it.
     pub(crate) fn on_owner_unreachable(&mut self, owner: OwnerRef, since: Timestamp) {
--- a/lib/src/runs/job_spec.rs
+++ b/lib/src/runs/job_spec.rs
@@ -92,6 +92,12 @@
         counts.fold(0, u32::saturating_add)
     }
 
+    /// The step and the index of each task.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = (u32, u32)> {
+        let steps = (0..).zip(&self.steps);
+        steps.flat_map(|(step, spec)| (0..spec.tasks).map(move |index| (step, index)))
+    }
+
     /// Checks the job without regard to load.
     ///
     /// # Errors
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -48,6 +48,8 @@
     /// Whether its start may take effect although the upstream's process has ended: an order without
     /// an answer may be held outside the process.
     pub(crate) may_start_late: bool,
+    /// Whether nothing else may run on its upstream, because it may crash it.
+    pub(crate) is_alone: bool,
     /// The name of its job's queue.
     pub(crate) queue: Arc<str>,
     /// The capacity that it takes up.
@@ -128,6 +130,7 @@
             dropped_batch: None,
             has_seen_restart: false,
             may_start_late: false,
+            is_alone: false,
             queue,
             resources,
             phase: RunPhase::Starting,
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -91,6 +91,8 @@
     pub(crate) is_renew_pending: bool,
     /// Whether the last renew order extended no lease because no home had claimed a run.
     pub(crate) awaits_claim: bool,
+    /// Whether only a task that has to run alone may start there.
+    pub(crate) is_reserved: bool,
     /// What shows whether its process has ended.
     pub(crate) crash_evidence: CrashEvidence,
 }
@@ -118,6 +120,7 @@
             has_missed_renew: false,
             is_renew_pending: false,
             awaits_claim: false,
+            is_reserved: false,
             crash_evidence: CrashEvidence::default(),
         }
     }
@@ -146,7 +149,31 @@
     /// Whether a task may start there now, if it fits into the free capacity.
     pub(crate) fn can_take_work(&self, now: Timestamp) -> bool {
         let in_flight = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
-        self.is_usable() && self.unclaimed_runs.is_empty() && self.health.can_start(now, in_flight)
+        let is_shared = !self.is_reserved && !self.has_lone_run();
+        is_shared
+            && self.is_usable()
+            && self.unclaimed_runs.is_empty()
+            && self.health.can_start(now, in_flight)
+    }
+
+    /// Whether a task that has to run alone may start there now, if it fits into the capacity.
+    pub(crate) fn can_take_lone_run(&self, now: Timestamp) -> bool {
+        let is_idle = self.runs.is_empty() && self.unclaimed_runs.is_empty();
+        is_idle && self.is_usable() && self.health.can_start(now, 0)
+    }
+
+    /// Whether a run there has to be alone.
+    pub(crate) fn has_lone_run(&self) -> bool {
+        self.runs.values().any(|run| run.is_alone)
+    }
+
+    /// When its last run is expected to end; zero without runs.
+    pub(crate) fn expected_idle_at(&self) -> Timestamp {
+        let ends = self
+            .runs
+            .values()
+            .map(|run| run.ordered_at + run.expected_run_time);
+        ends.max().unwrap_or(Timestamp::ZERO)
     }
 
     /// Whether it is reachable, and neither released nor draining.
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -138,7 +138,7 @@
     /// The highest number of an accepted batch, by home.
     highest_taken: IndexMap<Incarnation, u64>,
     /// The tasks that wait for free capacity.
-    queue: Vec<(HeldBatchKey, TaskIndex)>,
+    pub(crate) queue: Vec<(HeldBatchKey, TaskIndex)>,
     /// Batches with runs that may go on under a newer owner, and when these must have ended.
     pub(crate) possibly_running: IndexMap<(Incarnation, u64), Timestamp>,
     /// The orders that are not answered yet.
@@ -400,8 +400,10 @@
         }
         batch.tasks[task].state = HeldState::Running(upstream_key);
         let queue = batch.queue.clone();
+        let is_alone = batch.tasks[task].placed.is_alone;
         let mut leased =
             LeasedRun::starting((batch_key, task), queue, demand, expected_run_time, now);
+        leased.is_alone = is_alone;
         leased.phase = RunPhase::Active {
             since_order: OrderId(self.next_order_id),
         };
@@ -622,6 +624,7 @@
         }
         self.queue = left;
         self.drop_overdue(now);
+        self.reserve_upstream(now);
         self.wake_for_next_drop();
     }
 
@@ -678,6 +681,10 @@
         let batch = &self.batches[batch_key];
         let step_demand = batch.step_demand(task);
         let avoid = &batch.tasks[task].placed.avoid;
+        let is_alone = batch.tasks[task].placed.is_alone;
+        if is_alone && !self.may_start_lone_run(&batch.service) {
+            return None;
+        }
         let mut candidate_keys = Vec::new();
         let mut candidates = Vec::new();
         for (upstream_key, upstream) in &self.upstreams {
@@ -686,7 +693,10 @@
             let is_candidate = upstream.listed.service == batch.service
                 && step_demand.resources.fits(free)
                 && label.is_none_or(|label| upstream.listed.has_label(label))
-                && upstream.can_take_work(now)
+                && match is_alone {
+                    true => upstream.can_take_lone_run(now),
+                    false => upstream.can_take_work(now),
+                }
                 && self.is_within_limit(upstream_key, batch_key, task);
             if !is_candidate {
                 continue;
@@ -735,6 +745,7 @@
         let step_demand = batch.step_demand(task);
         let (demand, expected) = (step_demand.resources, batch.expected_run_time(task));
         let (queue, payload) = (batch.queue.clone(), batch.payload.clone());
+        let is_alone = batch.tasks[task].placed.is_alone;
         let waited_ms = whole_ms(now.since(batch.accepted_at));
         batch.tasks[task].state = HeldState::Running(upstream_key);
         batch.has_begun = true;
@@ -744,7 +755,8 @@
         let Some(lease_until_ms) = upstream.extend_lease(now, lease) else {
             return self.requeue(Some((batch_key, task)), None);
         };
-        let leased = LeasedRun::starting((batch_key, task), queue, demand, expected, now);
+        let mut leased = LeasedRun::starting((batch_key, task), queue, demand, expected, now);
+        leased.is_alone = is_alone;
         upstream.runs.insert(run, leased);
         if upstream.runs.len() == 1 {
             // The pending renew order may wait long, and its answer may be lost.
@@ -755,7 +767,7 @@
         let fence = upstream.fence;
         let slowness_percent = upstream.speed.slowness_percent();
         tracing::info!(
-            job = %run.task.job, run = %run, upstream = %upstream.listed.id, fence, waited_ms,
+            job = %run.task.job, run = %run, upstream = %upstream.listed.id, fence, waited_ms, is_alone,
             expected_ms = whole_ms(expected), slowness_percent, free_millicores = upstream.free().cpu_millicores,
             "run ordered"
         );
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -53,6 +53,10 @@
 /// runs.
 const IDLE_UNREACHABLE_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// How long after a refused connection the next one is attempted to an upstream that may have
+/// crashed.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(5);
+
 /// How long after an unanswered or failed stop it is ordered again, and after an unanswered probe the
 /// next one is sent.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -717,7 +721,7 @@
     }
 
     /// Handles a run that no longer runs and has no known end: reports it as lost.
-    fn on_run_lost(&mut self, upstream_key: LeasedUpstreamKey, run: RunId, why: &str) {
+    pub(crate) fn on_run_lost(&mut self, upstream_key: LeasedUpstreamKey, run: RunId, why: &str) {
         let upstream = &mut self.upstreams[upstream_key];
         let Some(leased) = upstream.runs.swap_remove(&run) else {
             return;
@@ -803,6 +807,7 @@
                 .subscribe(at.max(now), OwnerTimer::LeaseExpiry(upstream_key));
         }
         let retry = match upstream.runs.is_empty() {
+            _ if upstream.crash_evidence.needs_check(now) => CRASH_CHECK_DELAY,
             true => IDLE_UNREACHABLE_RETRY_DELAY,
             false => UNREACHABLE_RETRY_DELAY,
         };
--- a/lib/src/runs/owner_crashes.rs
+++ b/lib/src/runs/owner_crashes.rs
@@ -59,6 +59,7 @@
         {
             return;
         }
+        upstream.crash_evidence.is_by_lone_run = upstream.has_lone_run();
         let ended_at = upstream.crash_evidence.ended_at(now);
         let runs = upstream.runs.iter().map(|(run, leased)| CrashedRun {
             run: *run,
@@ -69,6 +70,7 @@
             upstream: upstream.listed.id.clone(),
             fence: upstream.fence,
             runs: runs.collect(),
+            ago: now.since(ended_at),
         };
         let newest = report.newest_run();
         tracing::warn!(
--- a/lib/src/runs/run_answer.rs
+++ b/lib/src/runs/run_answer.rs
@@ -40,7 +40,8 @@
     /// Every task is done.
     #[display("completed")]
     Completed,
-    /// A task used up its attempts, or an upstream rejected its start order as invalid.
+    /// A task used up its attempts or crashes the upstreams that run it, or an upstream rejected its
+    /// start order as invalid.
     #[display("failed")]
     Failed,
     /// Its caller cancelled it.
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -68,6 +68,10 @@
 /// heartbeats of 150 ms.
 const NO_OTHER_OWNER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The number of instances that a new process asks for the crashes that they know of. Any one of them
+/// may have been restarted itself.
+const MAX_CRASH_REQUESTS: usize = 3;
+
 /// How long before the exit of a stopping process its open jobs are answered, so that the answers
 /// are written in time.
 const LAST_ANSWERS_BEFORE_EXIT: Duration = Duration::from_millis(150);
@@ -122,6 +126,8 @@
     timers: TimerService<DispatcherTimer>,
     pause_guard: PauseGuard,
     unsent: Vec<UnsentMessage>,
+    /// The instances that this process has asked for the crashes that they know of.
+    crash_requests: IndexSet<PeerKey>,
     /// The instances with which this one exchanges heartbeats.
     neighbours: IndexSet<Arc<str>>,
     is_leaving: bool,
@@ -155,6 +161,7 @@
             timers,
             pause_guard: PauseGuard::default(),
             unsent: Vec::new(),
+            crash_requests: IndexSet::new(),
             neighbours: IndexSet::new(),
             is_leaving: false,
             reported: LoadSummary::default(),
@@ -572,7 +579,7 @@
             OwnerNotice::Crash(report) => {
                 self.home.counts.upstream_crashes += 1;
                 self.home.crashes.record(self.now, &report);
-                self.broadcast(&RunMessage::Crash(report));
+                self.broadcast(&RunMessage::Crashes(vec![report]));
             }
         }
     }
@@ -656,7 +663,17 @@
             }
             RunMessage::Report(report) if is_fresh => self.handle_report(peer, home, report),
             RunMessage::Report(_) => {}
-            RunMessage::Crash(report) => self.home.crashes.record(now, &report),
+            RunMessage::Crashes(reports) => {
+                for report in &reports {
+                    self.home.crashes.record(now, report);
+                }
+            }
+            RunMessage::CrashRequest => {
+                let known = self.home.crashes.reports(now);
+                if !known.is_empty() {
+                    self.send(peer, RunMessage::Crashes(known));
+                }
+            }
             RunMessage::Listing(update) => {
                 self.handle_listing_update(&sender.instance, update);
             }
@@ -672,6 +689,9 @@
 
     fn handle_report(&mut self, peer: PeerKey, home: Incarnation, report: PeerReport) {
         let owner = OwnerRef::Peer(peer);
+        if self.crash_requests.len() < MAX_CRASH_REQUESTS && self.crash_requests.insert(peer) {
+            self.send(peer, RunMessage::CrashRequest);
+        }
         self.record_digest(peer, report.digest);
         self.owner
             .drop_closed_batches(self.now, home, &report.open, report.highest_sent);
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -85,9 +85,12 @@
         /// The version that the sender has; zero when it has none.
         have_version: u64,
     },
-    /// An upstream that the sender owns has crashed.
-    #[display("crash of {} with {} runs", _0.upstream, _0.runs.len())]
-    Crash(CrashReport),
+    /// Crashes of upstreams: a new one, or all that the sender knows of.
+    #[display("{} crashes", _0.len())]
+    Crashes(Vec<CrashReport>),
+    /// Request all crashes that the receiver knows of.
+    #[display("crashes requested")]
+    CrashRequest,
     /// Changes of the upstreams' entries that the sender has read.
     #[display("{} changes of the listing up to version {}", _0.changes.len(), _0.version)]
     Listing(ListingUpdate),
@@ -160,6 +163,8 @@
     pub known_run_time: Option<Duration>,
     /// Upstreams on which earlier runs of it failed, were lost or were too slow.
     pub avoid: Vec<Arc<str>>,
+    /// Whether nothing else may run on its upstream, because an upstream crashed under it before.
+    pub is_alone: bool,
 }
 
 /// How tasks of a batch ended.
--- a/lib/src/runs/upstream_choice.rs
+++ b/lib/src/runs/upstream_choice.rs
@@ -12,6 +12,8 @@
     pub expected_run_time: Duration,
     /// Whether that is known from the task's progress elsewhere, and not only declared.
     pub is_run_time_known: bool,
+    /// Whether nothing else may run on its upstream.
+    pub is_alone: bool,
     /// How long until its job's objective.
     pub objective_left: Duration,
     /// How long until its caller leaves.
@@ -70,10 +72,16 @@
                 true => (candidate.distance, u32::MAX - speed_class),
                 false => (0, speed_class),
             };
+            // The one with the most left is the most likely to be idle.
+            let in_use = match task.is_alone {
+                true => u32::MAX - candidate.left_millicores,
+                false => 0,
+            };
             (
                 candidate.avoided,
                 candidate.far_from_data,
                 !is_in_time,
+                in_use,
                 (near_first, speed),
                 candidate.distance,
                 candidate.left_millicores,
--- a/lib/tests/crash_codec.rs
+++ b/lib/tests/crash_codec.rs
@@ -39,6 +39,7 @@
         upstream: Arc::from("up-1"),
         fence: 22_528,
         runs: vec![crashed_run(3, 311), crashed_run(4, 10)],
+        ago: Duration::from_millis(1_250),
     };
     assert_eq!(report.newest_run(), Some(&crashed_run(4, 10)));
     let envelope = Envelope {
@@ -50,7 +51,7 @@
             receiver: Incarnation(9),
             sent_at: Timestamp::from_us(5),
             echo: None,
-            message: RunMessage::Crash(report),
+            message: RunMessage::Crashes(vec![report]),
         })),
     };
     let sealer = EnvelopeSealer::new(b"a key");
--- a/lib/tests/deadly_tasks.rs
+++ b/lib/tests/deadly_tasks.rs
@@ -4,6 +4,7 @@
 
 use almondhead_lib::runs::run_answer::JobEnd;
 use almondhead_lib::runs::run_answer::RunAnswer;
+use almondhead_testsupport::run_site::PathLoss;
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
 use almondhead_testsupport::run_site::run_job;
@@ -87,6 +88,51 @@
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
 
+/// Guards against the retry of a run that goes on behind a cut which refuses connections, as the address
+/// of a crashed upstream does.
+#[test]
+fn refused_connections_end_no_run() {
+    let mut site = started(2, 5_000);
+    site.submit(0, "look", OTHER, &run_job(1, 6_800, 1_500));
+    site.run_ms(100);
+    let running = (0..site.upstream_count()).find(|upstream| site.start_count(*upstream) > 0);
+    let running = running.expect("the upstream of the only run");
+    for node in 0..site.node_count() {
+        site.set_upstream_path(node, running, Some(PathLoss::Refused));
+    }
+    site.run_ms(700);
+    let starts: u64 = (0..site.upstream_count())
+        .map(|upstream| site.start_count(upstream))
+        .sum();
+    assert_eq!(starts, 1, "its lease has not expired yet");
+    site.run_ms(3_500);
+    assert_eq!(
+        end_of(&site, OTHER),
+        Some(RunAnswer::Ended(JobEnd::Completed))
+    );
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+/// Guards against tasks that may crash their upstreams and take away most of them at once: after the first
+/// crash of each, they run on few upstreams at a time.
+#[test]
+fn few_upstreams_exposed() {
+    let mut site = started(16, 5_000);
+    let deadly: Vec<String> = (0..12)
+        .map(|number| format!("00000000000000{number:02x}"))
+        .collect();
+    for (number, id) in deadly.iter().enumerate() {
+        site.set_deadly(id);
+        site.submit(number % 3, "look", id, &run_job(1, 6_800, 60));
+        site.run_ms(40);
+    }
+    site.run_ms(1_500);
+    let crashes: usize = deadly.iter().map(|id| site.crashes(id)).sum();
+    // One for each job, and an eighth of the upstreams.
+    assert!(crashes <= 12 + 48 / 8, "{crashes}");
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
 /// Guards against the loss of jobs whose tasks shared upstreams with deadly tasks, several times in a
 /// row.
 #[test]
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -107,6 +107,8 @@
     Orders,
     /// Orders are executed, but their answers do not arrive.
     Answers,
+    /// The network resets open connections and refuses new ones.
+    Refused,
 }
 
 /// A peer message that is held back on its way to the receiver.
@@ -456,6 +458,11 @@
             Some(loss) => self.upstream_paths.insert((node, upstream), loss),
             None => self.upstream_paths.swap_remove(&(node, upstream)),
         };
+        if loss == Some(PathLoss::Refused) {
+            let renews = &mut self.upstreams[upstream].renews;
+            let reset = renews.extract_if(.., |renew| renew.node == node).collect();
+            self.end_connections(reset, &OrderAnswer::Reset);
+        }
     }
 
     /// Cuts an instance off from the store, or reconnects it.
@@ -489,7 +496,8 @@
     pub fn set_upstream_fault(&mut self, upstream: usize, fault: Option<UpstreamFault>) {
         self.upstreams[upstream].fault = fault;
         if fault == Some(UpstreamFault::Crashed) {
-            self.disconnect_orders(upstream);
+            let renews = std::mem::take(&mut self.upstreams[upstream].renews);
+            self.end_connections(renews, &OrderAnswer::Closed);
         }
         if fault.is_some_and(UpstreamFault::is_down) {
             self.upstreams[upstream].reset(self.now);
@@ -891,8 +899,13 @@
         };
         let held_by = is_late.then_some(self.upstreams[upstream].incarnation);
         let path = self.upstream_paths.get(&(node, upstream));
-        if path == Some(&PathLoss::Orders) {
-            return;
+        match path {
+            Some(PathLoss::Orders) => return,
+            Some(PathLoss::Refused) => {
+                let refused = OrderAnswer::NoListener;
+                return self.answer_order(node, incarnation, order, refused, ORDER_DELAY);
+            }
+            _ => {}
         }
         let is_answered = draw >= unanswered;
         let order = ScheduledEvent::Order {
@@ -1020,15 +1033,14 @@
         }
     }
 
-    /// Ends the connections of the renew orders that wait at an upstream.
-    fn disconnect_orders(&mut self, upstream: usize) {
-        for renew in std::mem::take(&mut self.upstreams[upstream].renews) {
-            let answer = OrderAnswer::Closed;
+    /// Ends the connections of waiting renew orders.
+    fn end_connections(&mut self, renews: Vec<WaitingRenew>, answer: &OrderAnswer) {
+        for renew in renews {
             self.answer_order(
                 renew.node,
                 renew.incarnation,
                 renew.order,
-                answer,
+                answer.clone(),
                 ORDER_DELAY,
             );
         }
