runs: end the runs of a crashed upstream at once

What callers saw: every task on a crashed upstream, also one that only shared it, was retried 1.03 s later; with a caller's limit of 1.5 s most of these jobs came late or not at all.

Cause: a crash was handled like silence. The lease of a silent upstream's runs has to expire before a retry, as they may go on; a process that has ended runs nothing. A run whose start was not answered in time is kept until its lease has expired, as the order may be held elsewhere and reach the next incarnation.

--- a/lib/src/runs/owner_crashes.rs
+++ b/lib/src/runs/owner_crashes.rs
@@ -4,8 +4,10 @@
 use super::crash_report::CrashedRun;
 use super::owner::Owner;
 use super::owner::OwnerNotice;
+use super::owner::PendingKind;
 use super::owner::PendingOrder;
 use super::run_id::LeasedUpstreamKey;
+use super::run_id::RunId;
 use super::run_order::OrderAnswer;
 use super::run_order::OrderRefusal;
 use super::whole_ms::whole_ms;
@@ -36,14 +38,35 @@
         }
     }
 
-    /// Reports the crash of an upstream whose process has ended, once.
+    /// Reports the crash of an upstream whose process has ended, once, and its runs as lost.
     pub(crate) fn check_crash(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
         let upstream = self.upstreams.get(upstream_key);
         if upstream.is_some_and(|upstream| upstream.crash_evidence.has_ended()) {
             self.report_crash(now, upstream_key, "connections_closed_and_refused");
+            self.end_crashed_runs(upstream_key);
         }
     }
 
+    /// Reports the runs of a crashed upstream as lost, except those whose start may still take effect
+    /// in its next incarnation: these are kept until their leases have expired.
+    fn end_crashed_runs(&mut self, upstream_key: LeasedUpstreamKey) {
+        let starts = self
+            .orders
+            .values()
+            .filter_map(|pending| match pending.kind {
+                PendingKind::Start(run) if pending.upstream == upstream_key => Some(run),
+                _ => None,
+            });
+        let starts: Vec<RunId> = starts.collect();
+        let runs = self.upstreams[upstream_key].runs.iter();
+        let ended = runs.filter(|(run, leased)| !leased.may_start_late && !starts.contains(run));
+        let ended: Vec<RunId> = ended.map(|(run, _)| *run).collect();
+        for run in ended {
+            self.on_run_lost(upstream_key, run, "crashed");
+        }
+        self.drop_if_released(upstream_key);
+    }
+
     /// Reports the crash of an upstream with the runs that it ended, once for each incarnation.
     ///
     /// An upstream that is draining ends its process by itself.
