runs: suspend a queue whose tasks crash too many upstreams

Cause: the blast radius of a queue was the whole site. Nothing bounded how many upstreams the tasks of one queue take away from the others.

A crash counts against the queue of its newest run if that run is at most 25 ms old, or known to be deadly. At a fifth of the upstreams within 4 s the queue is suspended: new jobs are refused with 503 and the time until an upstream is back, suspects of the queue do not start, and a job that cannot wait for that is given up at once. Every instance decides alike, by the reports that it has anyway.

--- a/entry/src/run_metrics.rs
+++ b/entry/src/run_metrics.rs
@@ -192,6 +192,7 @@
         NotRun::NoUpstreamInReach => "no_upstream_in_reach",
         NotRun::Overloaded => "overloaded",
         NotRun::WaitedTooLong => "waited_too_long",
+        NotRun::QueueSuspended => "queue_suspended",
         NotRun::TooManyJobs => "too_many_jobs",
         NotRun::Stopping => "stopping",
     }
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -34,6 +34,7 @@
 mod pause_guard;
 mod peer_table;
 mod placing;
+mod queue_suspension;
 mod requesting;
 pub mod resources;
 pub mod roster;
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -8,6 +8,7 @@
 use super::home::RETRY_AFTER_OVERLOAD;
 use super::home::longest_chain;
 use super::home::objective;
+use super::intended_state::JobQueueSettings;
 use super::intended_state::Target;
 use super::job_spec::JobSpec;
 use super::owner_choice::OwnerView;
@@ -55,6 +56,9 @@
         if let Some(refusal) = self.refuse_unservable(&queue.service, &spec) {
             return Some(refusal);
         }
+        if let Some(refusal) = self.refuse_suspended(queue) {
+            return Some(refusal);
+        }
         // The queue's timeout applies only to callers that do not name their own.
         let wait = wait
             .or(queue.timeout)
@@ -79,6 +83,14 @@
         None
     }
 
+    /// Refuses a job of a queue whose tasks have crashed too many upstreams lately.
+    fn refuse_suspended(&self, queue: &JobQueueSettings) -> Option<RunAnswer> {
+        let suspension = &self.home.crashes.suspension;
+        let remaining = suspension.remaining(self.now, &queue.name)?;
+        let retry_after = remaining.max(MIN_RETRY_AFTER);
+        Some(not_run(NotRun::QueueSuspended, Some(retry_after)))
+    }
+
     /// Refuses a job with a task that no listed upstream could ever run.
     ///
     /// None while no upstream of the service is listed.
--- a/lib/src/runs/crash_register.rs
+++ b/lib/src/runs/crash_register.rs
@@ -7,6 +7,7 @@
 
 use super::crash_report::CrashReport;
 use super::crash_report::CrashedRun;
+use super::queue_suspension::QueueSuspension;
 use super::run_id::TaskName;
 use crate::time::Timestamp;
 
@@ -26,6 +27,10 @@
 /// The number of crashes after which a task runs alone, although another run was newer at each.
 const MAX_CRASHES_BESIDE_NEWER: usize = 2;
 
+/// The age of a run up to which its start counts as the cause of its upstream's crash. Upstreams that
+/// crash for another reason seldom have a run this young.
+const CRASH_ON_START: Duration = Duration::from_millis(25);
+
 /// The crashes of upstreams under each task.
 #[derive(Debug, Default)]
 pub(crate) struct CrashRegister {
@@ -33,6 +38,8 @@
     reports: IndexMap<(Arc<str>, u64), KnownCrash>,
     /// By task, in the order of the first crash.
     tasks: IndexMap<TaskName, TaskCrashes>,
+    /// The crashes whose cause is known, by queue.
+    pub(crate) suspension: QueueSuspension,
 }
 
 #[derive(Debug)]
@@ -58,8 +65,9 @@
 }
 
 impl CrashRegister {
-    /// Records a crash, which may be reported more than once.
-    pub(crate) fn record(&mut self, now: Timestamp, report: &CrashReport) {
+    /// Records a crash, which may be reported more than once; `upstreams` is the number of upstreams
+    /// of the same service.
+    pub(crate) fn record(&mut self, now: Timestamp, report: &CrashReport, upstreams: usize) {
         self.tasks.retain(|_, task| task.last_at + RETENTION > now);
         self.reports
             .retain(|_, known| known.crashed_at + RETENTION > now);
@@ -79,6 +87,10 @@
         for crashed in &report.runs {
             self.record_task(crashed_at, report, crashed);
         }
+        if let Some(cause) = self.cause(report) {
+            self.suspension
+                .record(now, &cause.queue, crashed_at, upstreams);
+        }
         while self.tasks.len() > MAX_TASKS {
             self.tasks.shift_remove_index(0);
         }
@@ -99,6 +111,13 @@
         });
     }
 
+    /// The run that caused a crash; none if that is not clear.
+    fn cause<'a>(&self, report: &'a CrashReport) -> Option<&'a CrashedRun> {
+        let newest = report.newest_run()?;
+        let is_cause = newest.age <= CRASH_ON_START || self.is_deadly(newest.run.task);
+        is_cause.then_some(newest)
+    }
+
     /// The crashes that are known at this time.
     pub(crate) fn reports(&self, now: Timestamp) -> Vec<CrashReport> {
         let reports = self.reports.values().map(|known| CrashReport {
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -451,7 +451,11 @@
         self.jobs[key].tasks[task].retry();
         self.is_dirty = true;
         let job = &self.jobs[key];
-        if job.is_infeasible(now, task) {
+        let suspension = match job.tasks[task].is_alone {
+            true => self.crashes.suspension.remaining(now, &job.queue.name),
+            false => None,
+        };
+        if job.is_infeasible(now + suspension.unwrap_or_default(), task) {
             self.end_unfinished(now, key, Unfinished::GivenUp(GivenUp::Deadline));
         }
     }
--- a/lib/src/runs/placing.rs
+++ b/lib/src/runs/placing.rs
@@ -118,10 +118,12 @@
     step_constraints: &mut [StepConstraints],
 ) {
     let job = &home.jobs[key];
+    let suspension = &home.crashes.suspension;
+    let is_suspended = suspension.remaining(now, &job.queue.name).is_some();
     let mut has_begun = job.has_begun;
     let mut chosen: IndexMap<OwnerRef, Vec<usize>> = IndexMap::new();
     for (index, task) in job.tasks.iter().enumerate() {
-        if task.state != HomeState::Waiting {
+        if task.state != HomeState::Waiting || (task.is_alone && is_suspended) {
             continue;
         }
         let step = task.step as usize;
--- a/lib/src/runs/run_answer.rs
+++ b/lib/src/runs/run_answer.rs
@@ -83,6 +83,9 @@
     /// It waited until it could no longer end in time.
     #[display("waited_too_long")]
     WaitedTooLong,
+    /// Tasks of its queue have crashed too many upstreams lately.
+    #[display("queue_suspended")]
+    QueueSuspended,
     /// The maximum number of open jobs is reached.
     #[display("too_many_jobs")]
     TooManyJobs,
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 
 use super::assignment::OwnAssignment;
+use super::crash_report::CrashReport;
 use super::event::RunEvent;
 use super::home::Home;
 use super::home::HomeOutput;
@@ -578,12 +579,24 @@
             }
             OwnerNotice::Crash(report) => {
                 self.home.counts.upstream_crashes += 1;
-                self.home.crashes.record(self.now, &report);
+                self.record_crash(&report);
                 self.broadcast(&RunMessage::Crashes(vec![report]));
             }
         }
     }
 
+    fn record_crash(&mut self, report: &CrashReport) {
+        let mut listed = self.listing.iter();
+        let crashed = listed.find(|upstream| upstream.id == report.upstream);
+        let service = crashed.map(|upstream| upstream.service.clone());
+        let of_service = self.listing.iter().filter(|upstream| {
+            let mut service = service.iter();
+            service.all(|service| upstream.service == *service)
+        });
+        let upstreams = of_service.count();
+        self.home.crashes.record(self.now, report, upstreams);
+    }
+
     pub(crate) fn broadcast(&mut self, message: &RunMessage) {
         let peers: Vec<PeerKey> = self.peers.peers.keys().collect();
         for peer in peers {
@@ -665,7 +678,7 @@
             RunMessage::Report(_) => {}
             RunMessage::Crashes(reports) => {
                 for report in &reports {
-                    self.home.crashes.record(now, report);
+                    self.record_crash(report);
                 }
             }
             RunMessage::CrashRequest => {
