runs, simulated site: split the files of owner, home, dispatcher and site

Their methods move to files by what they do; fields and methods that other files use become visible to the crate or the module. A comparison of all lines outside imports before and after shows formatting only, and three headings of sections that are files now.

--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -5,9 +5,9 @@
 
 use super::held_batch::MIN_RUN_TIME_SHARE;
 use super::home::NewJob;
-use super::home::RETRY_AFTER_OVERLOAD;
 use super::home::longest_chain;
 use super::home::objective;
+use super::home_answers::RETRY_AFTER_OVERLOAD;
 use super::intended_state::JobQueueSettings;
 use super::intended_state::Target;
 use super::job_spec::JobSpec;
--- /dev/null
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -0,0 +1,310 @@
+//! How the dispatcher handles the messages of other instances, and sends its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::crash_report::CrashReport;
+use super::owner_choice::OwnerRef;
+use super::peer_table::Freshness;
+use super::peer_table::PEER_TIMEOUT;
+use super::run_action::RunAction;
+use super::run_digest::RunDigest;
+use super::run_dispatcher::DispatcherTimer;
+use super::run_dispatcher::RunDispatcher;
+use super::run_dispatcher::UnsentMessage;
+use super::run_id::PeerKey;
+use super::run_message::PeerReport;
+use super::run_message::RunMessage;
+use super::run_message::TimedRunMessage;
+use crate::event::PeerIdentity;
+use crate::id::Incarnation;
+use crate::time::Timestamp;
+
+/// The minimum time between a report and the next one that a changed load causes.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(25);
+
+/// A report is sent between heartbeats when the free processor capacity has changed by at least the
+/// total divided by this.
+const REPORTED_CHANGE_DIVISOR: u32 = 8;
+
+/// The delay before a message that found no connection is sent again. Establishing a connection
+/// takes some milliseconds, and a refused one is retried after 50 ms.
+const RESEND_DELAY: Duration = Duration::from_millis(30);
+
+/// The number of instances that a new process asks for the crashes that they know of. Any one of them
+/// may have been restarted itself.
+const MAX_CRASH_REQUESTS: usize = 3;
+
+impl RunDispatcher {
+    /// Handles a message, unless it is for an earlier incarnation of this instance.
+    pub(crate) fn handle_message(&mut self, sender: &PeerIdentity, timed: TimedRunMessage) {
+        let mut replaced = None;
+        let is_for_this_incarnation = timed.receiver == self.settings.incarnation;
+        // A reading of an earlier incarnation's clock says nothing about this one's.
+        let (sent_at, echo) = (
+            timed.sent_at,
+            timed.echo.filter(|_| is_for_this_incarnation),
+        );
+        let recorded = self
+            .peers
+            .record_message(self.now, sender, sent_at, echo, &mut replaced);
+        if let Some((peer, incarnation)) = replaced {
+            self.on_incarnation_ended(peer, incarnation);
+        }
+        let Some((peer, freshness)) = recorded else {
+            return;
+        };
+        if !is_for_this_incarnation {
+            let (instance, receiver) = (&sender.instance, timed.receiver);
+            tracing::info!(%instance, %receiver, content = %timed.message, "message to an earlier incarnation ignored");
+            return;
+        }
+        let is_fresh = freshness == Freshness::Fresh;
+        let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
+        match timed.message {
+            RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, batch),
+            RunMessage::Place(batch) => self.owner.refuse_stale(now, home, batch),
+            RunMessage::Adopt { upstream, batch } => {
+                self.owner.adopt(now, home, &upstream, batch);
+            }
+            RunMessage::Ends(ends) => {
+                self.record_digest(peer, ends.digest);
+                self.home.handle_ends(now, owner, ends.batch, ends.ends);
+            }
+            RunMessage::Cancel { batches } => self.owner.cancel(now, home, &batches),
+            RunMessage::Found {
+                upstream,
+                fence,
+                running,
+                ended,
+            } => {
+                self.owner.relinquish_upstream(now, &upstream, fence);
+                self.home
+                    .handle_found_runs(now, owner, &upstream, &running, &ended);
+            }
+            RunMessage::Report(report) if is_fresh => self.handle_report(peer, home, report),
+            RunMessage::Report(_) => {}
+            RunMessage::Crashes(reports) => {
+                for report in &reports {
+                    self.record_crash(report);
+                }
+            }
+            RunMessage::CrashRequest => {
+                let known = self.home.crashes.reports(now);
+                if !known.is_empty() {
+                    self.send(peer, RunMessage::Crashes(known));
+                }
+            }
+            RunMessage::Listing(update) => {
+                self.handle_listing_update(&sender.instance, update);
+            }
+            RunMessage::CancelJob { job } => {
+                self.home.cancel(now, job);
+            }
+            RunMessage::IntendedRequest { have_version } => {
+                self.send_intended(peer, have_version);
+            }
+            RunMessage::IntendedBody { body, .. } => self.handle_intended_body(body),
+        }
+    }
+
+    fn handle_report(&mut self, peer: PeerKey, home: Incarnation, report: PeerReport) {
+        let owner = OwnerRef::Peer(peer);
+        if self.crash_requests.len() < MAX_CRASH_REQUESTS && self.crash_requests.insert(peer) {
+            self.send(peer, RunMessage::CrashRequest);
+        }
+        self.record_digest(peer, report.digest);
+        self.owner
+            .drop_closed_batches(self.now, home, &report.open, report.highest_sent);
+        self.home
+            .reconcile_batches(self.now, owner, &report.held, report.highest_taken);
+    }
+
+    /// Records the load of a peer, and requests its intended state if that is newer.
+    fn record_digest(&mut self, peer: PeerKey, digest: RunDigest) {
+        let own_version = self.intended.as_ref().map_or(0, |state| state.version);
+        if digest.intended_version > own_version {
+            let request = RunMessage::IntendedRequest {
+                have_version: own_version,
+            };
+            self.send(peer, request);
+        }
+        self.peers.peers[peer].digest = digest;
+        self.home.mark_dirty();
+    }
+
+    fn send_intended(&mut self, peer: PeerKey, have_version: u64) {
+        let Some(state) = &self.intended else {
+            return;
+        };
+        if state.version <= have_version {
+            return;
+        }
+        let message = RunMessage::IntendedBody {
+            version: state.version,
+            body: self.intended_body.clone(),
+        };
+        self.send(peer, message);
+    }
+
+    fn handle_intended_body(&mut self, body: Bytes) {
+        match self.decoder.decode(&body) {
+            Some(state) => self.install_intended_state(Arc::new(state), body),
+            None => tracing::warn!(
+                bytes = body.len(),
+                "intended state from another instance is not valid"
+            ),
+        }
+    }
+
+    /// Fails a batch that was not sent; schedules other messages to be sent again, unless a later
+    /// heartbeat makes up for them.
+    pub(crate) fn peer_not_sent(&mut self, instance: &str, message: TimedRunMessage) {
+        let Some(peer) = self.peers.by_name(instance) else {
+            return;
+        };
+        let TimedRunMessage {
+            receiver, sent_at, ..
+        } = message;
+        match message.message {
+            RunMessage::Place(batch) => {
+                let owner = OwnerRef::Peer(peer);
+                self.home.handle_unsent_batch(self.now, owner, batch.number);
+                self.peers.peers[peer].digest.services.clear();
+            }
+            // Heartbeats repeat reports, and cause the intended state to be requested again.
+            // A listing update that is missed shows in the next one.
+            RunMessage::Report(_)
+            | RunMessage::Listing(_)
+            | RunMessage::IntendedRequest { .. }
+            | RunMessage::IntendedBody { .. } => {}
+            message => {
+                self.unsent.push(UnsentMessage {
+                    peer,
+                    incarnation: receiver,
+                    message,
+                    sent_at,
+                });
+                let due = self.now + RESEND_DELAY;
+                self.timers.subscribe(due, DispatcherTimer::Resend);
+            }
+        }
+    }
+
+    /// Sends unsent messages again, except those that are old or for another incarnation.
+    pub(crate) fn resend_unsent(&mut self) {
+        for unsent in std::mem::take(&mut self.unsent) {
+            let is_recent = self.now.since(unsent.sent_at) < PEER_TIMEOUT;
+            let peer = self.peers.peers.get(unsent.peer);
+            let is_same_incarnation =
+                peer.is_some_and(|peer| peer.incarnation == unsent.incarnation);
+            if is_recent && is_same_incarnation {
+                self.send_as_of(unsent.sent_at, unsent.peer, unsent.message);
+            } else {
+                let peer = peer.map_or("unknown", |peer| &peer.name);
+                tracing::warn!(peer, content = %unsent.message, "message to an instance dropped");
+            }
+        }
+    }
+
+    pub(crate) fn record_crash(&mut self, report: &CrashReport) {
+        let mut listed = self.listing.iter();
+        let crashed = listed.find(|upstream| upstream.id == report.upstream);
+        let service = crashed.map(|upstream| upstream.service.clone());
+        let of_service = self.listing.iter().filter(|upstream| {
+            let mut service = service.iter();
+            service.all(|service| upstream.service == *service)
+        });
+        let upstreams = of_service.count();
+        self.home.crashes.record(self.now, report, upstreams);
+    }
+
+    pub(crate) fn broadcast(&mut self, message: &RunMessage) {
+        let peers: Vec<PeerKey> = self.peers.peers.keys().collect();
+        for peer in peers {
+            self.send(peer, message.clone());
+        }
+    }
+
+    pub(crate) fn send(&mut self, peer: PeerKey, message: RunMessage) {
+        self.send_as_of(self.now, peer, message);
+    }
+
+    /// Sends a message that was first to be sent at `sent_at`.
+    fn send_as_of(&mut self, sent_at: Timestamp, peer: PeerKey, message: RunMessage) {
+        let Some(peer) = self.peers.peers.get(peer) else {
+            return;
+        };
+        self.actions.push(RunAction::SendPeer {
+            instance: peer.name.clone(),
+            message: Box::new(TimedRunMessage {
+                receiver: peer.incarnation,
+                sent_at,
+                echo: peer.clock_estimate(self.now),
+                message,
+            }),
+        });
+    }
+
+    /// The load of this instance, as other instances get it.
+    pub(crate) fn digest(&self) -> RunDigest {
+        RunDigest {
+            services: self.owner.loads(self.now),
+            waiting: self.home.waiting(),
+            intended_version: self.intended.as_ref().map_or(0, |state| state.version),
+            leaving: self.is_leaving,
+        }
+    }
+
+    pub(crate) fn send_reports(&mut self) {
+        let digest = self.digest();
+        self.reported = self.owner.load_summary(self.now);
+        self.reported_at = self.now;
+        let mut held = self.owner.held_batches(self.now);
+        let mut open = self.home.open_batches();
+        let peers: Vec<(PeerKey, Incarnation)> = self
+            .peers
+            .peers
+            .iter()
+            .map(|(key, peer)| (key, peer.incarnation))
+            .collect();
+        for (peer, incarnation) in peers {
+            let held = held.swap_remove(&incarnation).unwrap_or_default();
+            let open = open.swap_remove(&OwnerRef::Peer(peer)).unwrap_or_default();
+            let state = &self.peers.peers[peer];
+            let is_neighbour =
+                self.neighbours.contains(&state.name) || state.is_reachable_unlisted(self.now);
+            if held.is_empty() && open.is_empty() && !is_neighbour {
+                continue;
+            }
+            let report = PeerReport {
+                digest: digest.clone(),
+                held,
+                highest_taken: self.owner.highest_taken_of(incarnation),
+                open,
+                highest_sent: self.home.highest_batch_number(),
+            };
+            self.send(peer, RunMessage::Report(report));
+        }
+    }
+
+    /// Sends a report if the load has changed substantially since the last one.
+    pub(crate) fn report_load_change(&mut self) {
+        let load = self.owner.load_summary(self.now);
+        let step = (load.total_millicores / REPORTED_CHANGE_DIVISOR).max(1);
+        let change = load.free_millicores.abs_diff(self.reported.free_millicores);
+        if change < step && load.has_queue == self.reported.has_queue {
+            return;
+        }
+        let due = self.reported_at + MIN_REPORT_INTERVAL;
+        if due > self.now {
+            if self.timers.next_at().is_none_or(|next| next > due) {
+                self.timers.subscribe(due, DispatcherTimer::Report);
+            }
+            return;
+        }
+        self.send_reports();
+    }
+}
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -8,11 +8,9 @@
 use indexmap::IndexSet;
 
 use super::assignment::OwnAssignment;
-use super::crash_report::CrashReport;
 use super::event::RunEvent;
 use super::home::Home;
 use super::home::HomeOutput;
-use super::home_job::Unfinished;
 use super::intended_state::IntendedState;
 use super::listing_relay::ListingRelay;
 use super::neighbours::neighbours;
@@ -20,28 +18,19 @@
 use super::owner::OwnerNotice;
 use super::owner_choice::OwnerRef;
 use super::pause_guard::PauseGuard;
-use super::peer_table::Freshness;
-use super::peer_table::PEER_TIMEOUT;
 use super::peer_table::PeerTable;
 use super::roster::Roster;
 use super::run_action::PeerAddress;
 use super::run_action::RunAction;
-use super::run_answer::GivenUp;
-use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
 use super::run_digest::LoadSummary;
-use super::run_digest::RunDigest;
-use super::run_id::HomeJobKey;
 use super::run_id::PeerKey;
-use super::run_message::PeerReport;
 use super::run_message::RunEnds;
 use super::run_message::RunMessage;
-use super::run_message::TimedRunMessage;
 use super::run_settings::RunSettings;
 use super::run_status::RunStatus;
 use super::upstream_listing::UpstreamListing;
 use super::whole_ms::whole_ms;
-use crate::event::PeerIdentity;
 use crate::id::Incarnation;
 use crate::id::RequestId;
 use crate::time::Timestamp;
@@ -50,29 +39,6 @@
 /// The interval between heartbeats to the same instance.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The minimum time between a report and the next one that a changed load causes.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(25);
-
-/// A report is sent between heartbeats when the free processor capacity has changed by at least the
-/// total divided by this.
-const REPORTED_CHANGE_DIVISOR: u32 = 8;
-
-/// The delay before a message that found no connection is sent again. Establishing a connection
-/// takes some milliseconds, and a refused one is retried after 50 ms.
-const RESEND_DELAY: Duration = Duration::from_millis(30);
-
-/// The age from which a job of which nothing has run ends when no owner is reachable.
-const NO_OWNER_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// How long a job of which something may have run waits for another owner. An owner that has just
-/// started is read from the roster within 550 ms, and known to be reachable after 100 ms and two
-/// heartbeats of 150 ms.
-const NO_OTHER_OWNER_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The number of instances that a new process asks for the crashes that they know of. Any one of them
-/// may have been restarted itself.
-const MAX_CRASH_REQUESTS: usize = 3;
-
 /// How long before the exit of a stopping process its open jobs are answered, so that the answers
 /// are written in time.
 const LAST_ANSWERS_BEFORE_EXIT: Duration = Duration::from_millis(150);
@@ -85,7 +51,7 @@
 
 /// The timers of the dispatcher, besides those of its home and its owner.
 #[derive(Clone, Copy, Debug)]
-enum DispatcherTimer {
+pub(crate) enum DispatcherTimer {
     Heartbeat,
     Report,
     Resend,
@@ -94,12 +60,12 @@
 
 /// A message that found no connection and is to be sent again.
 #[derive(Debug)]
-struct UnsentMessage {
-    peer: PeerKey,
-    incarnation: Incarnation,
-    message: RunMessage,
+pub(crate) struct UnsentMessage {
+    pub(crate) peer: PeerKey,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) message: RunMessage,
     /// When it was first to be sent.
-    sent_at: Timestamp,
+    pub(crate) sent_at: Timestamp,
 }
 
 /// Decides, without I/O, what one instance does as a home of jobs and as an owner of upstreams.
@@ -116,25 +82,25 @@
     pub(crate) listing: UpstreamListing,
     pub(crate) intended: Option<Arc<IntendedState>>,
     /// The stored bytes of the intended state, for passing it on.
-    intended_body: Bytes,
-    decoder: Box<dyn IntendedDecoder>,
+    pub(crate) intended_body: Bytes,
+    pub(crate) decoder: Box<dyn IntendedDecoder>,
     pub(crate) roster: Roster,
     assignment: OwnAssignment,
     pub(crate) listing_relay: ListingRelay,
     /// Whether the process was last told to read the upstreams' entries.
     pub(crate) reads_listing: bool,
     pub(crate) roster_watch: super::roster_watch::RosterWatch,
-    timers: TimerService<DispatcherTimer>,
+    pub(crate) timers: TimerService<DispatcherTimer>,
     pause_guard: PauseGuard,
-    unsent: Vec<UnsentMessage>,
+    pub(crate) unsent: Vec<UnsentMessage>,
     /// The instances that this process has asked for the crashes that they know of.
-    crash_requests: IndexSet<PeerKey>,
+    pub(crate) crash_requests: IndexSet<PeerKey>,
     /// The instances with which this one exchanges heartbeats.
-    neighbours: IndexSet<Arc<str>>,
-    is_leaving: bool,
+    pub(crate) neighbours: IndexSet<Arc<str>>,
+    pub(crate) is_leaving: bool,
     /// The load of the last report.
-    reported: LoadSummary,
-    reported_at: Timestamp,
+    pub(crate) reported: LoadSummary,
+    pub(crate) reported_at: Timestamp,
 }
 
 impl RunDispatcher {
@@ -312,7 +278,7 @@
     }
 
     /// Replaces the intended state if the version is newer.
-    fn install_intended_state(&mut self, state: Arc<IntendedState>, body: Bytes) {
+    pub(crate) fn install_intended_state(&mut self, state: Arc<IntendedState>, body: Bytes) {
         let current = self.intended.as_ref().map_or(0, |state| state.version);
         if state.version <= current {
             return;
@@ -393,107 +359,6 @@
         self.owner.reassign(self.now, assigned, self.roster.version);
     }
 
-    /// Checks what depends on the time, and sends heartbeats.
-    fn on_heartbeat_due(&mut self) {
-        let next = self.now + HEARTBEAT_INTERVAL;
-        self.timers.subscribe(next, DispatcherTimer::Heartbeat);
-        let gone = self.listing.expire(self.now);
-        if !gone.is_empty() {
-            self.forget_upstreams(&gone);
-            self.assign_upstreams();
-        }
-        self.check_peers();
-        let own = self.settings.instance.clone();
-        let is_reachable = |name: &str| {
-            let peer = self.peers.by_name(name);
-            peer.is_some_and(|peer| self.peers.peers[peer].is_reachable(self.now))
-        };
-        let dead = self
-            .roster_watch
-            .dead_members(self.now, &own, &self.roster, is_reachable);
-        for (name, row_version) in dead {
-            tracing::warn!(instance = %name, row_version, "instance dead: removing it");
-            self.actions
-                .push(RunAction::RemoveMember { name, row_version });
-        }
-        self.end_unplaceable();
-        self.home.end_infeasible(self.now);
-        self.home.mark_dirty();
-        self.send_reports();
-    }
-
-    /// Gives up what depends on instances that have become unreachable.
-    fn check_peers(&mut self) {
-        let now = self.now;
-        let unreachable = self.peers.peers.iter().filter_map(|(key, peer)| {
-            let last_contact_at = peer.last_contact_at?;
-            (!peer.is_reachable(now)).then_some((key, peer.incarnation, last_contact_at))
-        });
-        let unreachable: Vec<(PeerKey, Incarnation, Timestamp)> = unreachable.collect();
-        for (peer, incarnation, last_contact_at) in unreachable {
-            let state = &mut self.peers.peers[peer];
-            state.last_contact_at = None;
-            tracing::warn!(instance = %state.name, "instance unreachable");
-            self.on_peer_unreachable(peer, incarnation, last_contact_at);
-        }
-        for (peer, incarnation) in self.peers.forget_unlisted(now) {
-            self.on_incarnation_ended(peer, incarnation);
-        }
-        for home in self.owner.homes() {
-            let is_home_reachable = home == self.settings.incarnation
-                || self
-                    .peers
-                    .by_incarnation(home)
-                    .is_some_and(|key| self.peers.peers[key].is_reachable(now));
-            if !is_home_reachable {
-                self.owner.drop_home(now, home);
-            }
-        }
-    }
-
-    /// Gives up what depends on an incarnation of an instance that has ended.
-    fn on_incarnation_ended(&mut self, peer: PeerKey, incarnation: Incarnation) {
-        self.on_peer_unreachable(peer, incarnation, self.now);
-        self.home.forget_owner_incarnation(OwnerRef::Peer(peer));
-    }
-
-    fn on_peer_unreachable(
-        &mut self,
-        peer: PeerKey,
-        incarnation: Incarnation,
-        last_contact_at: Timestamp,
-    ) {
-        self.home
-            .on_owner_unreachable(self.now, OwnerRef::Peer(peer), last_contact_at);
-        self.owner.drop_home(self.now, incarnation);
-    }
-
-    /// Ends jobs whose waiting tasks have had no reachable owner for too long.
-    fn end_unplaceable(&mut self) {
-        let waiting = self.home.jobs.iter().filter(|(_, job)| job.is_waiting());
-        let waiting: Vec<HomeJobKey> = waiting.map(|(key, _)| key).collect();
-        for key in waiting {
-            let service = self.home.jobs[key].queue.service.clone();
-            let has_owner = !self.owner_views(&service).is_empty();
-            let job = &mut self.home.jobs[key];
-            if has_owner {
-                job.no_owner_since = None;
-                continue;
-            }
-            let since = *job.no_owner_since.get_or_insert(self.now);
-            let waited = self.now.since(since);
-            if !job.may_have_run && !job.is_placed() {
-                if self.now.since(job.accepted_at) >= NO_OWNER_TIMEOUT {
-                    let why = Unfinished::NotRun(NotRun::NoUpstreamInReach);
-                    self.home.end_unfinished(self.now, key, why);
-                }
-            } else if waited >= NO_OTHER_OWNER_TIMEOUT {
-                let why = Unfinished::GivenUp(GivenUp::OwnerLost);
-                self.home.end_unfinished(self.now, key, why);
-            }
-        }
-    }
-
     /// Carries out the outputs of home and owner until neither produces more.
     fn process_outputs(&mut self) {
         let may_start = !self.pause_guard.is_catching_up(self.now);
@@ -585,279 +450,9 @@
         }
     }
 
-    fn record_crash(&mut self, report: &CrashReport) {
-        let mut listed = self.listing.iter();
-        let crashed = listed.find(|upstream| upstream.id == report.upstream);
-        let service = crashed.map(|upstream| upstream.service.clone());
-        let of_service = self.listing.iter().filter(|upstream| {
-            let mut service = service.iter();
-            service.all(|service| upstream.service == *service)
-        });
-        let upstreams = of_service.count();
-        self.home.crashes.record(self.now, report, upstreams);
-    }
-
-    pub(crate) fn broadcast(&mut self, message: &RunMessage) {
-        let peers: Vec<PeerKey> = self.peers.peers.keys().collect();
-        for peer in peers {
-            self.send(peer, message.clone());
-        }
-    }
-
-    pub(crate) fn send(&mut self, peer: PeerKey, message: RunMessage) {
-        self.send_as_of(self.now, peer, message);
-    }
-
-    /// Sends a message that was first to be sent at `sent_at`.
-    fn send_as_of(&mut self, sent_at: Timestamp, peer: PeerKey, message: RunMessage) {
-        let Some(peer) = self.peers.peers.get(peer) else {
-            return;
-        };
-        self.actions.push(RunAction::SendPeer {
-            instance: peer.name.clone(),
-            message: Box::new(TimedRunMessage {
-                receiver: peer.incarnation,
-                sent_at,
-                echo: peer.clock_estimate(self.now),
-                message,
-            }),
-        });
-    }
-
     pub(crate) fn answer(&mut self, request: RequestId, answer: RunAnswer) {
         self.actions.push(RunAction::Answer { request, answer });
     }
-
-    /// Handles a message, unless it is for an earlier incarnation of this instance.
-    fn handle_message(&mut self, sender: &PeerIdentity, timed: TimedRunMessage) {
-        let mut replaced = None;
-        let is_for_this_incarnation = timed.receiver == self.settings.incarnation;
-        // A reading of an earlier incarnation's clock says nothing about this one's.
-        let (sent_at, echo) = (
-            timed.sent_at,
-            timed.echo.filter(|_| is_for_this_incarnation),
-        );
-        let recorded = self
-            .peers
-            .record_message(self.now, sender, sent_at, echo, &mut replaced);
-        if let Some((peer, incarnation)) = replaced {
-            self.on_incarnation_ended(peer, incarnation);
-        }
-        let Some((peer, freshness)) = recorded else {
-            return;
-        };
-        if !is_for_this_incarnation {
-            let (instance, receiver) = (&sender.instance, timed.receiver);
-            tracing::info!(%instance, %receiver, content = %timed.message, "message to an earlier incarnation ignored");
-            return;
-        }
-        let is_fresh = freshness == Freshness::Fresh;
-        let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
-        match timed.message {
-            RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, batch),
-            RunMessage::Place(batch) => self.owner.refuse_stale(now, home, batch),
-            RunMessage::Adopt { upstream, batch } => {
-                self.owner.adopt(now, home, &upstream, batch);
-            }
-            RunMessage::Ends(ends) => {
-                self.record_digest(peer, ends.digest);
-                self.home.handle_ends(now, owner, ends.batch, ends.ends);
-            }
-            RunMessage::Cancel { batches } => self.owner.cancel(now, home, &batches),
-            RunMessage::Found {
-                upstream,
-                fence,
-                running,
-                ended,
-            } => {
-                self.owner.relinquish_upstream(now, &upstream, fence);
-                self.home
-                    .handle_found_runs(now, owner, &upstream, &running, &ended);
-            }
-            RunMessage::Report(report) if is_fresh => self.handle_report(peer, home, report),
-            RunMessage::Report(_) => {}
-            RunMessage::Crashes(reports) => {
-                for report in &reports {
-                    self.record_crash(report);
-                }
-            }
-            RunMessage::CrashRequest => {
-                let known = self.home.crashes.reports(now);
-                if !known.is_empty() {
-                    self.send(peer, RunMessage::Crashes(known));
-                }
-            }
-            RunMessage::Listing(update) => {
-                self.handle_listing_update(&sender.instance, update);
-            }
-            RunMessage::CancelJob { job } => {
-                self.home.cancel(now, job);
-            }
-            RunMessage::IntendedRequest { have_version } => {
-                self.send_intended(peer, have_version);
-            }
-            RunMessage::IntendedBody { body, .. } => self.handle_intended_body(body),
-        }
-    }
-
-    fn handle_report(&mut self, peer: PeerKey, home: Incarnation, report: PeerReport) {
-        let owner = OwnerRef::Peer(peer);
-        if self.crash_requests.len() < MAX_CRASH_REQUESTS && self.crash_requests.insert(peer) {
-            self.send(peer, RunMessage::CrashRequest);
-        }
-        self.record_digest(peer, report.digest);
-        self.owner
-            .drop_closed_batches(self.now, home, &report.open, report.highest_sent);
-        self.home
-            .reconcile_batches(self.now, owner, &report.held, report.highest_taken);
-    }
-
-    /// Records the load of a peer, and requests its intended state if that is newer.
-    fn record_digest(&mut self, peer: PeerKey, digest: RunDigest) {
-        let own_version = self.intended.as_ref().map_or(0, |state| state.version);
-        if digest.intended_version > own_version {
-            let request = RunMessage::IntendedRequest {
-                have_version: own_version,
-            };
-            self.send(peer, request);
-        }
-        self.peers.peers[peer].digest = digest;
-        self.home.mark_dirty();
-    }
-
-    fn send_intended(&mut self, peer: PeerKey, have_version: u64) {
-        let Some(state) = &self.intended else {
-            return;
-        };
-        if state.version <= have_version {
-            return;
-        }
-        let message = RunMessage::IntendedBody {
-            version: state.version,
-            body: self.intended_body.clone(),
-        };
-        self.send(peer, message);
-    }
-
-    fn handle_intended_body(&mut self, body: Bytes) {
-        match self.decoder.decode(&body) {
-            Some(state) => self.install_intended_state(Arc::new(state), body),
-            None => tracing::warn!(
-                bytes = body.len(),
-                "intended state from another instance is not valid"
-            ),
-        }
-    }
-
-    /// Fails a batch that was not sent; schedules other messages to be sent again, unless a later
-    /// heartbeat makes up for them.
-    fn peer_not_sent(&mut self, instance: &str, message: TimedRunMessage) {
-        let Some(peer) = self.peers.by_name(instance) else {
-            return;
-        };
-        let TimedRunMessage {
-            receiver, sent_at, ..
-        } = message;
-        match message.message {
-            RunMessage::Place(batch) => {
-                let owner = OwnerRef::Peer(peer);
-                self.home.handle_unsent_batch(self.now, owner, batch.number);
-                self.peers.peers[peer].digest.services.clear();
-            }
-            // Heartbeats repeat reports, and cause the intended state to be requested again.
-            // A listing update that is missed shows in the next one.
-            RunMessage::Report(_)
-            | RunMessage::Listing(_)
-            | RunMessage::IntendedRequest { .. }
-            | RunMessage::IntendedBody { .. } => {}
-            message => {
-                self.unsent.push(UnsentMessage {
-                    peer,
-                    incarnation: receiver,
-                    message,
-                    sent_at,
-                });
-                let due = self.now + RESEND_DELAY;
-                self.timers.subscribe(due, DispatcherTimer::Resend);
-            }
-        }
-    }
-
-    /// Sends unsent messages again, except those that are old or for another incarnation.
-    fn resend_unsent(&mut self) {
-        for unsent in std::mem::take(&mut self.unsent) {
-            let is_recent = self.now.since(unsent.sent_at) < PEER_TIMEOUT;
-            let peer = self.peers.peers.get(unsent.peer);
-            let is_same_incarnation =
-                peer.is_some_and(|peer| peer.incarnation == unsent.incarnation);
-            if is_recent && is_same_incarnation {
-                self.send_as_of(unsent.sent_at, unsent.peer, unsent.message);
-            } else {
-                let peer = peer.map_or("unknown", |peer| &peer.name);
-                tracing::warn!(peer, content = %unsent.message, "message to an instance dropped");
-            }
-        }
-    }
-
-    /// The load of this instance, as other instances get it.
-    fn digest(&self) -> RunDigest {
-        RunDigest {
-            services: self.owner.loads(self.now),
-            waiting: self.home.waiting(),
-            intended_version: self.intended.as_ref().map_or(0, |state| state.version),
-            leaving: self.is_leaving,
-        }
-    }
-
-    fn send_reports(&mut self) {
-        let digest = self.digest();
-        self.reported = self.owner.load_summary(self.now);
-        self.reported_at = self.now;
-        let mut held = self.owner.held_batches(self.now);
-        let mut open = self.home.open_batches();
-        let peers: Vec<(PeerKey, Incarnation)> = self
-            .peers
-            .peers
-            .iter()
-            .map(|(key, peer)| (key, peer.incarnation))
-            .collect();
-        for (peer, incarnation) in peers {
-            let held = held.swap_remove(&incarnation).unwrap_or_default();
-            let open = open.swap_remove(&OwnerRef::Peer(peer)).unwrap_or_default();
-            let state = &self.peers.peers[peer];
-            let is_neighbour =
-                self.neighbours.contains(&state.name) || state.is_reachable_unlisted(self.now);
-            if held.is_empty() && open.is_empty() && !is_neighbour {
-                continue;
-            }
-            let report = PeerReport {
-                digest: digest.clone(),
-                held,
-                highest_taken: self.owner.highest_taken_of(incarnation),
-                open,
-                highest_sent: self.home.highest_batch_number(),
-            };
-            self.send(peer, RunMessage::Report(report));
-        }
-    }
-
-    /// Sends a report if the load has changed substantially since the last one.
-    fn report_load_change(&mut self) {
-        let load = self.owner.load_summary(self.now);
-        let step = (load.total_millicores / REPORTED_CHANGE_DIVISOR).max(1);
-        let change = load.free_millicores.abs_diff(self.reported.free_millicores);
-        if change < step && load.has_queue == self.reported.has_queue {
-            return;
-        }
-        let due = self.reported_at + MIN_REPORT_INTERVAL;
-        if due > self.now {
-            if self.timers.next_at().is_none_or(|next| next > due) {
-                self.timers.subscribe(due, DispatcherTimer::Report);
-            }
-            return;
-        }
-        self.send_reports();
-    }
 }
 
 fn has_same_membership(left: &Roster, right: &Roster) -> bool {
--- a/lib/testsupport/src/run_site.rs
+++ b/lib/testsupport/src/run_site.rs
@@ -8,14 +8,19 @@
 
 mod job;
 mod node;
+mod plan;
 mod site;
+mod site_actions;
+mod site_observations;
+mod site_orders;
+mod site_store;
 mod upstream;
 
 pub use self::job::run_job;
 pub use self::job::run_queue;
+pub use self::plan::SitePlan;
 pub use self::site::OrderFault;
 pub use self::site::PathLoss;
 pub use self::site::RunSite;
 pub use self::site::SiteAnswer;
-pub use self::site::SitePlan;
 pub use self::upstream::UpstreamFault;
--- /dev/null
+++ b/lib/testsupport/src/run_site/site_observations.rs
@@ -0,0 +1,81 @@
+//! What tests can observe of a simulated site.
+
+use almondhead_lib::runs::run_counts::RunCounts;
+
+use super::site::RunSite;
+use super::site::SiteAnswer;
+
+impl RunSite {
+    /// Returns the answer to a job.
+    pub fn answer(&self, id: &str) -> Option<&SiteAnswer> {
+        self.answers.get(id)
+    }
+
+    /// Returns the answers with their jobs' ids.
+    pub fn answers(&self) -> impl Iterator<Item = (&String, &SiteAnswer)> {
+        self.answers.iter()
+    }
+
+    /// Returns the violations of the guarantees so far, one text each.
+    pub fn violations(&self) -> &[String] {
+        &self.violations
+    }
+
+    /// Returns the number of orders and the number of messages between instances sent so far.
+    pub fn traffic(&self) -> (u64, u64) {
+        (self.orders, self.messages)
+    }
+
+    /// The upstreams that deadly tasks have crashed so far, by job.
+    pub fn crashes(&self, id: &str) -> usize {
+        self.crashes.get(id).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of runs that an upstream has started.
+    pub fn start_count(&self, upstream: usize) -> u64 {
+        self.upstreams[upstream].starts
+    }
+
+    /// Returns the number of runs in progress on all upstreams.
+    pub fn running(&self) -> usize {
+        self.upstreams.iter().map(|state| state.runs.len()).sum()
+    }
+
+    /// Returns the number of upstreams that an instance owns and that accept tasks.
+    pub fn usable_upstreams(&self, node: usize) -> usize {
+        let dispatcher = self.nodes[node].dispatcher.as_ref();
+        dispatcher.map_or(0, |dispatcher| dispatcher.status().usable_upstreams)
+    }
+
+    /// Returns the counters of an instance's home; all zero while the instance is killed.
+    pub fn counts(&self, node: usize) -> RunCounts {
+        let dispatcher = self.nodes[node].dispatcher.as_ref();
+        dispatcher.map_or(RunCounts::default(), |at| at.status().counts)
+    }
+
+    /// Returns how often an instance's process has read the upstreams' entries.
+    pub fn listing_reads(&self, node: usize) -> u64 {
+        self.nodes[node].listing_reads
+    }
+
+    /// Returns the number of upstreams that an instance knows as listed.
+    pub fn listed_upstreams(&self, node: usize) -> usize {
+        let dispatcher = self.nodes[node].dispatcher.as_ref();
+        dispatcher.map_or(0, |dispatcher| dispatcher.status().listed_upstreams)
+    }
+
+    /// Returns the number of instances.
+    pub fn node_count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Returns the number of upstreams.
+    pub fn upstream_count(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Returns the site's time in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now.as_us() / 1_000
+    }
+}
