core: try a called task again after one unknown end, not after each

What callers saw: none so far. An idempotent single request that makes its upstream fail was tried again at the next one as long as the service's budget of retries lasted: 11 upstreams in deadly_call_given_up, where the budget of a service with a full bucket is ten retries.

Cause: the budget bounds the retries of a service, nothing bounded those of one task. Now a second attempt with an unknown end fails the request; the answer is what it was, 'unknown'.

--- a/lib/src/batching.rs
+++ b/lib/src/batching.rs
@@ -191,6 +191,7 @@
             input: task.input,
             state: TaskState::Waiting,
             requeues: 0,
+            unknown_ends: 0,
         });
         let submission = Submission {
             service: batch.service,
--- a/lib/src/job.rs
+++ b/lib/src/job.rs
@@ -91,6 +91,8 @@
     pub(crate) state: TaskState,
     /// How often the task was requeued after an attempt.
     pub(crate) requeues: u32,
+    /// How many of its attempts had an unknown end.
+    pub(crate) unknown_ends: u32,
 }
 
 /// A job, or the tasks of a sibling's job that run here.
--- a/lib/src/starting.rs
+++ b/lib/src/starting.rs
@@ -27,6 +27,10 @@
 /// After this many requeues, a task that could not be sent is not requeued again.
 const MAX_UNSENT_REQUEUES: u32 = 8;
 
+/// After this many attempts with an unknown end, a task is not started again: it may be what its
+/// upstreams fail from.
+const MAX_UNKNOWN_ENDS: u32 = 2;
+
 /// An upstream with a free slot, for tasks whose needs are within its resources.
 struct FreeUpstream {
     candidate: Candidate,
@@ -226,7 +230,7 @@
                 self.fail_task(key, index, end, FailReason::TaskFailed);
             }
             AttemptEnd::Unknown(cause) => {
-                if self.try_retry_unknown(key) {
+                if self.try_retry_unknown(key, index) {
                     return self.requeue(key, index);
                 }
                 let end = AttemptEnd::Unknown(cause);
@@ -250,9 +254,15 @@
 
     /// Takes a retry from the budget when a task whose outcome is unknown may run again.
     ///
-    /// Only single requests of one idempotent task may, if the service allows it.
-    fn try_retry_unknown(&mut self, key: JobKey) -> bool {
-        let job = &self.jobs[key];
+    /// Only single requests of one idempotent task may, if the service allows it, and only until the
+    /// ends of [`MAX_UNKNOWN_ENDS`] attempts are unknown.
+    fn try_retry_unknown(&mut self, key: JobKey, index: u32) -> bool {
+        let job = &mut self.jobs[key];
+        let task = &mut job.tasks[index as usize];
+        task.unknown_ends += 1;
+        if task.unknown_ends >= MAX_UNKNOWN_ENDS {
+            return false;
+        }
         let single = match &job.origin {
             JobOrigin::Callers { address, .. } => *address == JobAddress::Single,
             JobOrigin::Batch { .. } => false,
--- a/lib/src/submitting.rs
+++ b/lib/src/submitting.rs
@@ -153,6 +153,7 @@
                 input: input.clone(),
                 state: TaskState::Waiting,
                 requeues: 0,
+                unknown_ends: 0,
             });
         let tasks: Vec<Task> = tasks.collect();
         let origin = JobOrigin::Callers {
--- a/lib/testsupport/src/core_fakes.rs
+++ b/lib/testsupport/src/core_fakes.rs
@@ -262,14 +262,29 @@
         self.submit_new(instance, address, tasks)
     }
 
+    /// Submits a single request that may run again after an unknown end; returns the job.
+    pub fn submit_idempotent(&mut self, instance: usize) -> usize {
+        self.submit_with(instance, JobAddress::Single, 1, true)
+    }
+
     fn submit_new(&mut self, instance: usize, address: JobAddress, tasks: usize) -> usize {
+        self.submit_with(instance, address, tasks, false)
+    }
+
+    fn submit_with(
+        &mut self,
+        instance: usize,
+        address: JobAddress,
+        tasks: usize,
+        idempotent: bool,
+    ) -> usize {
         let job = self.jobs.len();
         let inputs = (0..tasks).map(|index| Bytes::from(format!("{job}/{index}")));
         let submission = Arc::new(Submission {
             service: Arc::from("lookup"),
             team: Arc::from("sales"),
             timeout: None,
-            idempotent: false,
+            idempotent,
             needs: Needs::default(),
             declared_run_time: None,
             inputs: inputs.collect(),
