--- a/lib/testsupport/src/run_site/site_actions.rs
+++ b/lib/testsupport/src/run_site/site_actions.rs
@@ -240,6 +240,23 @@
         state.listed = Arc::new(listed);
     }
 
+    /// Makes all upstreams start whatever they are ordered to, also beyond their capacity.
+    pub fn stop_guarding_capacity(&mut self) {
+        for upstream in &mut self.upstreams {
+            upstream.guards_capacity = false;
+        }
+    }
+
+    /// Changes the processor capacity of an upstream that goes on running, in thousandths of a core.
+    pub fn set_capacity(&mut self, upstream: usize, cpu_millicores: u32) {
+        let state = &mut self.upstreams[upstream];
+        let mut listed = (*state.listed).clone();
+        listed.capacity.cpu_millicores = cpu_millicores;
+        state.listed = Arc::new(listed);
+        state.capacity_changed_at = self.now;
+        self.list_again(upstream);
+    }
+
     /// Lists an upstream as draining.
     pub fn drain_upstream(&mut self, upstream: usize) {
         let state = &mut self.upstreams[upstream];
--- a/lib/testsupport/src/run_site/site_orders.rs
+++ b/lib/testsupport/src/run_site/site_orders.rs
@@ -16,6 +16,10 @@
 use super::upstream::UpstreamFault;
 use super::upstream::WaitingRenew;
 
+/// How long after a change of an upstream's capacity its owner may go by the one before: 3 s and a
+/// heartbeat of the upstream.
+const CAPACITY_GRACE: Duration = Duration::from_millis(4_500);
+
 /// How long after its start a deadly task crashes its upstream.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 
@@ -169,6 +173,15 @@
         };
         let was_running = self.upstreams[upstream].runs.contains_key(&run);
         self.upstreams[upstream].start(self.now, &request)?;
+        let state = &self.upstreams[upstream];
+        let is_known = self.now.since(state.capacity_changed_at) > CAPACITY_GRACE;
+        if !was_running && is_known && state.is_over_capacity() {
+            let at = self.now_ms();
+            let id = &state.listed.id;
+            self.violations.push(format!(
+                "{run} started at {at} ms beyond the capacity of {id}"
+            ));
+        }
         let job = run.task.job.to_string();
         if !was_running && run.task.index == 0 && self.deadly_jobs.contains(&job) {
             self.schedule(CRASH_DELAY, ScheduledEvent::Crash { upstream, run });
--- a/lib/testsupport/src/run_site/upstream.rs
+++ b/lib/testsupport/src/run_site/upstream.rs
@@ -67,6 +67,10 @@
     /// The divisor of the tasks' run times.
     pub(super) speed: f64,
     pub(super) fault: Option<UpstreamFault>,
+    /// Whether it refuses what exceeds its capacity.
+    pub(super) guards_capacity: bool,
+    /// When its capacity last changed.
+    pub(super) capacity_changed_at: Timestamp,
     /// The highest fencing token seen; orders with a lower one are refused.
     pub(super) fence: u64,
     /// The end of the lease of all runs, in the site's time.
@@ -111,6 +115,8 @@
             listed,
             speed,
             fault: None,
+            guards_capacity: true,
+            capacity_changed_at: Timestamp::ZERO,
             fence: 0,
             lease_until: Timestamp::ZERO,
             runs: IndexMap::new(),
@@ -170,7 +176,7 @@
         if newest.is_some_and(|newest| *newest >= request.run.run_number) {
             return Err(OrderRefusal::OldRun);
         }
-        if !request.resources.fits(self.free()) {
+        if self.guards_capacity && !request.resources.fits(self.free()) {
             return Err(OrderRefusal::NoCapacity);
         }
         self.starts += 1;
@@ -194,6 +200,15 @@
         Ok(())
     }
 
+    /// Whether its runs exceed its capacity.
+    pub(super) fn is_over_capacity(&self) -> bool {
+        let mut used = Resources::default();
+        for run in self.runs.values() {
+            used += run.resources;
+        }
+        !used.fits(self.listed.capacity)
+    }
+
     fn free(&self) -> Resources {
         let mut used = Resources::default();
         for run in self.runs.values() {
