runs: end a reservation when its job has ended, also with an empty queue

An upstream reserved for a suspect stayed reserved when the suspect's job ended while nothing else was queued: the next tasks waited for another event, and homes counted its capacity as used until then.

reservation_ends_with_its_job failed before (0 of 2 tasks started within 20 ms).

--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -26,6 +26,10 @@
 use super::whole_ms::whole_ms;
 use crate::time::Timestamp;
 
+/// The maximum number of passes through the queue at a time: the end of a reservation lets other tasks
+/// start.
+const MAX_PASSES: usize = 2;
+
 /// The maximum number of queued tasks that are skipped in one pass because no upstream can take
 /// them; the tasks behind them wait for the next pass.
 const MAX_BYPASSES: usize = 24;
@@ -40,7 +44,17 @@
     /// Starts the queued tasks that fit somewhere, in the order of the ranking, and drops those that
     /// have waited too long.
     pub(crate) fn start_queued(&mut self, now: Timestamp) {
-        if !std::mem::take(&mut self.is_dirty) || self.queue.is_empty() {
+        for _ in 0..MAX_PASSES {
+            if !std::mem::take(&mut self.is_dirty) {
+                return;
+            }
+            self.start_in_order(now);
+            self.reserve_upstream(now);
+        }
+    }
+
+    fn start_in_order(&mut self, now: Timestamp) {
+        if self.queue.is_empty() {
             return;
         }
         self.drop_too_late(now);
@@ -66,7 +80,6 @@
         }
         self.queue = left;
         self.drop_overdue(now);
-        self.reserve_upstream(now);
         self.wake_for_next_drop();
     }
 
--- a/lib/tests/deadly_tasks.rs
+++ b/lib/tests/deadly_tasks.rs
@@ -251,3 +251,24 @@
     );
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
+
+/// Guards against an upstream that stays reserved for a suspect whose job has ended.
+#[test]
+fn reservation_ends_with_its_job() {
+    let mut site = RunSite::start(&SitePlan::new(1, 1, 2));
+    site.set_caller_wait(Some(Duration::from_secs(5)));
+    site.run_ms(1_000);
+    site.set_deadly(DEADLY);
+    // One upstream crashes, the other one is busy.
+    site.submit(0, "look", DEADLY, &run_job(1, 6_800, 60));
+    site.submit(0, "look", OTHER, &run_job(2, 6_800, 500));
+    site.run_ms(200);
+    assert_eq!(site.crashes(DEADLY), 1);
+    site.drop_caller(DEADLY);
+    site.run_ms(2_000);
+    assert_eq!(site.running(), 0);
+    site.submit(0, "look", "00000000000000a2", &run_job(2, 6_800, 200));
+    site.run_ms(20);
+    assert_eq!(site.running(), 2);
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
