runs: spread the return of a suspended queue's callers

All callers who were refused while a queue was suspended were told the same moment to come back: the jobs of 4 s at once, at a queue that then has room for one crash.

--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -17,7 +17,9 @@
 use super::run_answer::JobEnd;
 use super::run_answer::NotRun;
 use super::run_answer::RunAnswer;
+use super::run_digest::name_hash;
 use super::run_dispatcher::RunDispatcher;
+use super::run_id::JobId;
 use super::step_constraints::StepConstraints;
 use super::upstream_choice::PlacementRequest;
 use crate::id::RequestId;
@@ -25,6 +27,10 @@
 /// The shortest wait before a retry that a refusal advises.
 const MIN_RETRY_AFTER: Duration = RETRY_AFTER_OVERLOAD;
 
+/// Over what time the callers of a suspended queue come back: as many as come in that time were refused,
+/// so that the queue then gets twice its usual jobs at most.
+const RETURN_SPREAD: Duration = Duration::from_secs(4);
+
 impl RunDispatcher {
     /// Accepts a job or joins the request to the open job of the same name.
     ///
@@ -56,7 +62,7 @@
         if let Some(refusal) = self.refuse_unservable(&queue.service, &spec) {
             return Some(refusal);
         }
-        if let Some(refusal) = self.refuse_suspended(queue) {
+        if let Some(refusal) = self.refuse_suspended(queue, id) {
             return Some(refusal);
         }
         // The queue's timeout applies only to callers that do not name their own.
@@ -84,10 +90,12 @@
     }
 
     /// Refuses a job of a queue whose tasks have crashed too many upstreams lately.
-    fn refuse_suspended(&self, queue: &JobQueueSettings) -> Option<RunAnswer> {
+    fn refuse_suspended(&self, queue: &JobQueueSettings, id: JobId) -> Option<RunAnswer> {
         let suspension = &self.home.crashes.suspension;
         let remaining = suspension.remaining(self.now, &queue.name)?;
-        let retry_after = remaining.max(MIN_RETRY_AFTER);
+        // Otherwise all would come back at the moment when the queue goes on.
+        let spread = RETURN_SPREAD.mul_f64(f64::from(name_hash(id.as_str())) / f64::from(u32::MAX));
+        let retry_after = (remaining + spread).max(MIN_RETRY_AFTER);
         Some(not_run(NotRun::QueueSuspended, Some(retry_after)))
     }
 
