runs: count the loss of runs on a silent upstream towards their tasks

A task that makes its upstream fall silent, rather than refuse connections, was passed on as before: 20 upstreams in silent_deadly_task_given_up while its caller waited 20 s.

Whether a silent upstream crashed or is cut off cannot be told, so such a loss is reported as uncertain. It does not suspect the newest run and suspends no queue; a task with two losses runs alone, and with three, alone at one of them, its job fails.

--- a/lib/src/peer_codec/crash.rs
+++ b/lib/src/peer_codec/crash.rs
@@ -19,6 +19,7 @@
             fence: report.fence,
             runs: report.runs.into_iter().map(Into::into).collect(),
             ago_us: to_us(report.ago),
+            is_certain: report.is_certain,
         }
     }
 }
@@ -34,6 +35,7 @@
             fence: report.fence,
             runs: runs.collect::<Result<_, _>>()?,
             ago: Duration::from_micros(report.ago_us),
+            is_certain: report.is_certain,
         })
     }
 }
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -727,6 +727,9 @@
     /// The time since the crash.
     #[prost(uint64, tag = "4")]
     pub ago_us: u64,
+    /// Whether the process of the upstream has surely ended.
+    #[prost(bool, tag = "5")]
+    pub is_certain: bool,
 }
 /// A run that a crash of its upstream ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/runs/crash_register.rs
+++ b/lib/src/runs/crash_register.rs
@@ -8,6 +8,7 @@
 use super::crash_report::CrashReport;
 use super::crash_report::CrashedRun;
 use super::queue_suspension::QueueSuspension;
+use super::run_id::RunId;
 use super::run_id::TaskName;
 use crate::time::Timestamp;
 
@@ -24,8 +25,11 @@
 /// The number of crashes after which a task is given up, where it ran alone at one of them.
 const MAX_CRASHES: usize = 2;
 
-/// The number of crashes after which a task runs alone, although another run was newer at each.
-const MAX_CRASHES_BESIDE_NEWER: usize = 2;
+/// The same for losses of which some may have been no crash.
+const MAX_LOSSES: usize = 3;
+
+/// The number of losses after which a task runs alone, although another run was newer at each.
+const MAX_LOSSES_BESIDE_NEWER: usize = 2;
 
 /// The age of a run up to which its start counts as the cause of its upstream's crash. Upstreams that
 /// crash for another reason seldom have a run this young.
@@ -34,8 +38,8 @@
 /// The crashes of upstreams under each task.
 #[derive(Debug, Default)]
 pub(crate) struct CrashRegister {
-    /// The reports by upstream and fence, in the order of their arrival.
-    reports: IndexMap<(Arc<str>, u64), KnownCrash>,
+    /// The reports by upstream, fence and newest run, in the order of their arrival.
+    reports: IndexMap<(Arc<str>, u64, Option<RunId>), KnownCrash>,
     /// By task, in the order of the first crash.
     tasks: IndexMap<TaskName, TaskCrashes>,
     /// The crashes whose cause is known, by queue.
@@ -62,6 +66,8 @@
     was_alone: bool,
     /// Whether it was the one that had started last.
     was_newest: bool,
+    /// Whether the upstream's process had surely ended.
+    is_certain: bool,
 }
 
 impl CrashRegister {
@@ -71,7 +77,8 @@
         self.tasks.retain(|_, task| task.last_at + RETENTION > now);
         self.reports
             .retain(|_, known| known.crashed_at + RETENTION > now);
-        let name = (report.upstream.clone(), report.fence);
+        let newest = report.newest_run().map(|crashed| crashed.run);
+        let name = (report.upstream.clone(), report.fence, newest);
         if report.ago >= RETENTION || self.reports.contains_key(&name) {
             return;
         }
@@ -108,12 +115,13 @@
         task.crashes.push(TaskCrash {
             was_alone: report.runs.len() == 1,
             was_newest: report.newest_run() == Some(crashed),
+            is_certain: report.is_certain,
         });
     }
 
     /// The run that caused a crash; none if that is not clear.
     fn cause<'a>(&self, report: &'a CrashReport) -> Option<&'a CrashedRun> {
-        let newest = report.newest_run()?;
+        let newest = report.newest_run().filter(|_| report.is_certain)?;
         let is_cause = newest.age <= CRASH_ON_START || self.is_deadly(newest.run.task);
         is_cause.then_some(newest)
     }
@@ -127,7 +135,7 @@
         reports.collect()
     }
 
-    /// The number of crashes at which the task was running.
+    /// The number of crashes at which the task was running, with those that may have been none.
     pub(crate) fn crash_count(&self, task: TaskName) -> usize {
         self.crashes(task).len()
     }
@@ -136,13 +144,16 @@
     /// crash their upstream do so as soon as they start.
     pub(crate) fn is_suspect(&self, task: TaskName) -> bool {
         let crashes = self.crashes(task);
-        crashes.iter().any(|crash| crash.was_newest) || crashes.len() >= MAX_CRASHES_BESIDE_NEWER
+        let is_likely = |crash: &TaskCrash| crash.is_certain && crash.was_newest;
+        crashes.iter().any(is_likely) || crashes.len() >= MAX_LOSSES_BESIDE_NEWER
     }
 
     /// Whether the task crashes the upstreams that run it, so that it is not started again.
     pub(crate) fn is_deadly(&self, task: TaskName) -> bool {
         let crashes = self.crashes(task);
-        crashes.iter().any(|crash| crash.was_alone) && crashes.len() >= MAX_CRASHES
+        let certain = crashes.iter().filter(|crash| crash.is_certain).count();
+        let is_repeated = certain >= MAX_CRASHES || crashes.len() >= MAX_LOSSES;
+        is_repeated && crashes.iter().any(|crash| crash.was_alone)
     }
 
     fn crashes(&self, task: TaskName) -> &[TaskCrash] {
--- a/lib/src/runs/crash_report.rs
+++ b/lib/src/runs/crash_report.rs
@@ -1,4 +1,4 @@
-//! The report of an upstream's crash, which owners send to all instances.
+//! The report of the loss of runs with their upstream, which owners send to all instances.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,10 +7,11 @@
 
 use super::run_id::RunId;
 
-/// A crash of an upstream and the runs that it ended.
+/// A crash of an upstream and the runs that it ended, or the loss of runs on a silent upstream, which
+/// may have crashed.
 ///
-/// Name and fence identify the crash: each incarnation of an upstream gets orders under a fence of
-/// its own.
+/// Each incarnation of an upstream gets orders under a fence of its own. With the run that started
+/// last, name and fence identify the loss.
 #[value]
 pub struct CrashReport {
     /// The upstream.
@@ -21,6 +22,9 @@
     pub runs: Vec<CrashedRun>,
     /// The time since the crash when the report was sent.
     pub ago: Duration,
+    /// Whether the process of the upstream has surely ended; otherwise it is silent, and the leases of
+    /// the runs have expired.
+    pub is_certain: bool,
 }
 
 /// A run that a crash of its upstream ended.
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -6,6 +6,8 @@
 use indexmap::IndexMap;
 
 use super::crash_evidence::CrashEvidence;
+use super::crash_report::CrashReport;
+use super::crash_report::CrashedRun;
 use super::learned_speed::LearnedSpeed;
 use super::leased_run::LeasedRun;
 use super::listed_upstream::ListedUpstream;
@@ -167,6 +169,22 @@
         self.runs.values().any(|run| run.is_alone)
     }
 
+    /// The report of a crash at this time.
+    pub(crate) fn loss_report(&self, crashed_at: Timestamp) -> CrashReport {
+        let runs = self.runs.iter().map(|(run, leased)| CrashedRun {
+            run: *run,
+            queue: leased.queue.clone(),
+            age: crashed_at.since(leased.ordered_at),
+        });
+        CrashReport {
+            upstream: self.listed.id.clone(),
+            fence: self.fence,
+            runs: runs.collect(),
+            ago: Duration::ZERO,
+            is_certain: true,
+        }
+    }
+
     /// When its last run is expected to end; zero without runs.
     pub(crate) fn expected_idle_at(&self) -> Timestamp {
         let ends = self
--- a/lib/src/runs/owner_contact.rs
+++ b/lib/src/runs/owner_contact.rs
@@ -172,6 +172,7 @@
         let is_unreachable = matches!(upstream.contact, Contact::Unreachable { .. });
         match upstream.leases_expire_at() {
             Some(at) if is_unreachable && at <= now => {
+                self.report_silent_loss(now, upstream_key);
                 self.on_all_runs_lost(upstream_key, "lease_over");
                 self.drop_if_released(upstream_key);
             }
--- a/lib/src/runs/owner_crashes.rs
+++ b/lib/src/runs/owner_crashes.rs
@@ -1,7 +1,6 @@
 //! How an owner finds out that an upstream has crashed.
 
 use super::crash_report::CrashReport;
-use super::crash_report::CrashedRun;
 use super::owner::Owner;
 use super::owner::OwnerNotice;
 use super::owner::PendingKind;
@@ -84,16 +83,9 @@
         }
         upstream.crash_evidence.is_by_lone_run = upstream.has_lone_run();
         let ended_at = upstream.crash_evidence.ended_at(now);
-        let runs = upstream.runs.iter().map(|(run, leased)| CrashedRun {
-            run: *run,
-            queue: leased.queue.clone(),
-            age: ended_at.since(leased.ordered_at),
-        });
         let report = CrashReport {
-            upstream: upstream.listed.id.clone(),
-            fence: upstream.fence,
-            runs: runs.collect(),
             ago: now.since(ended_at),
+            ..upstream.loss_report(ended_at)
         };
         let newest = report.newest_run();
         tracing::warn!(
@@ -112,4 +104,19 @@
         }
         self.notices.push(OwnerNotice::Crash(report));
     }
+
+    /// Reports the loss of the runs on a silent upstream, which may have crashed under one of them.
+    pub(crate) fn report_silent_loss(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
+        let upstream = &mut self.upstreams[upstream_key];
+        let is_known = upstream.crash_evidence.is_reported || upstream.listed.draining;
+        if upstream.runs.is_empty() || is_known {
+            return;
+        }
+        upstream.crash_evidence.is_by_lone_run |= upstream.has_lone_run();
+        let report = CrashReport {
+            is_certain: false,
+            ..upstream.loss_report(now)
+        };
+        self.notices.push(OwnerNotice::Crash(report));
+    }
 }
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -443,7 +443,7 @@
                 self.broadcast(&found);
             }
             OwnerNotice::Crash(report) => {
-                self.home.counts.upstream_crashes += 1;
+                self.home.counts.upstream_crashes += u64::from(report.is_certain);
                 self.record_crash(&report);
                 self.broadcast(&RunMessage::Crashes(vec![report]));
             }
--- a/lib/tests/crash_codec.rs
+++ b/lib/tests/crash_codec.rs
@@ -40,6 +40,7 @@
         fence: 22_528,
         runs: vec![crashed_run(3, 311), crashed_run(4, 10)],
         ago: Duration::from_millis(1_250),
+        is_certain: true,
     };
     assert_eq!(report.newest_run(), Some(&crashed_run(4, 10)));
     let envelope = Envelope {
--- a/lib/tests/deadly_tasks.rs
+++ b/lib/tests/deadly_tasks.rs
@@ -8,6 +8,7 @@
 use almondhead_testsupport::run_site::PathLoss;
 use almondhead_testsupport::run_site::RunSite;
 use almondhead_testsupport::run_site::SitePlan;
+use almondhead_testsupport::run_site::UpstreamFault;
 use almondhead_testsupport::run_site::run_job;
 use almondhead_testsupport::run_site::run_queue;
 
@@ -49,6 +50,25 @@
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
 
+/// Guards against the same where its upstreams fall silent, so that a crash cannot be told from a cut.
+#[test]
+fn silent_deadly_task_given_up() {
+    let mut site = started(4, 20_000);
+    site.set_deadly_by(DEADLY, UpstreamFault::Down);
+    site.submit(0, "look", DEADLY, &run_job(2, 6_800, 60));
+    site.run_ms(20_500);
+    assert!(
+        site.crashes(DEADLY) <= MAX_CRASHES,
+        "{}",
+        site.crashes(DEADLY)
+    );
+    assert_eq!(
+        end_of(&site, DEADLY),
+        Some(RunAnswer::Ended(JobEnd::Failed))
+    );
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
 /// Guards against another home that starts a task over which has crashed upstreams under the first
 /// home, when its caller submits the job again.
 #[test]
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -30,6 +30,7 @@
 use super::plan::SitePlan;
 use super::site_store::STORE_READ_INTERVAL;
 use super::upstream::SimUpstream;
+use super::upstream::UpstreamFault;
 
 /// The faults of orders from instances to upstreams.
 #[derive(Clone, Copy, Debug, Default)]
@@ -150,8 +151,8 @@
     pub(super) submissions: IndexMap<String, u32>,
     /// The number of submissions of each job that were answered as not run.
     pub(super) not_run_answers: IndexMap<String, u32>,
-    /// The ids of the jobs whose first task crashes upstreams.
-    pub(super) deadly_jobs: IndexSet<String>,
+    /// The jobs whose first task crashes upstreams, and the fault of these.
+    pub(super) deadly_jobs: IndexMap<String, UpstreamFault>,
     /// The number of crashes by deadly job.
     pub(super) crashes: IndexMap<String, usize>,
     pub(super) violations: Vec<String>,
@@ -207,7 +208,7 @@
             started_jobs: IndexSet::new(),
             submissions: IndexMap::new(),
             not_run_answers: IndexMap::new(),
-            deadly_jobs: IndexSet::new(),
+            deadly_jobs: IndexMap::new(),
             crashes: IndexMap::new(),
             violations: Vec::new(),
             orders: 0,
--- a/lib/testsupport/src/run_site/site_actions.rs
+++ b/lib/testsupport/src/run_site/site_actions.rs
@@ -221,13 +221,22 @@
 
     /// Crashes an upstream, which starts again [`CRASH_TIME`] later.
     pub fn crash_upstream(&mut self, upstream: usize) {
-        self.set_upstream_fault(upstream, Some(UpstreamFault::Crashed));
+        self.crash_by(upstream, UpstreamFault::Crashed);
+    }
+
+    pub(super) fn crash_by(&mut self, upstream: usize, fault: UpstreamFault) {
+        self.set_upstream_fault(upstream, Some(fault));
         self.schedule(CRASH_TIME, ScheduledEvent::Restart(upstream));
     }
 
     /// Makes each run of a job's first task crash its upstream [`CRASH_DELAY`] after its start.
     pub fn set_deadly(&mut self, id: &str) {
-        self.deadly_jobs.insert(id.to_owned());
+        self.set_deadly_by(id, UpstreamFault::Crashed);
+    }
+
+    /// Does the same by this fault.
+    pub fn set_deadly_by(&mut self, id: &str, fault: UpstreamFault) {
+        self.deadly_jobs.insert(id.to_owned(), fault);
     }
 
     /// Restarts an upstream under the same name, as a new incarnation without its runs.
--- a/lib/testsupport/src/run_site/site_orders.rs
+++ b/lib/testsupport/src/run_site/site_orders.rs
@@ -183,7 +183,7 @@
             ));
         }
         let job = run.task.job.to_string();
-        if !was_running && run.task.index == 0 && self.deadly_jobs.contains(&job) {
+        if !was_running && run.task.index == 0 && self.deadly_jobs.contains_key(&job) {
             self.schedule(CRASH_DELAY, ScheduledEvent::Crash { upstream, run });
         }
         self.started_jobs.insert(job.clone());
@@ -204,8 +204,10 @@
 
     pub(super) fn crash(&mut self, upstream: usize, run: RunId) {
         if self.upstreams[upstream].runs.contains_key(&run) {
-            *self.crashes.entry(run.task.job.to_string()).or_default() += 1;
-            self.crash_upstream(upstream);
+            let job = run.task.job.to_string();
+            let fault = self.deadly_jobs.get(&job).copied();
+            *self.crashes.entry(job).or_default() += 1;
+            self.crash_by(upstream, fault.unwrap_or(UpstreamFault::Crashed));
         }
     }
 
