runs: learn speeds from run times of any length

The logarithm of zero went into the mean that the other runs of the step are compared with, and the slowness of their upstreams became infinite or not a number. The check for zero was on a run's own time alone.

Change: a run time enters the filter with a finite logarithm and the variance that the clocks' resolution adds, and the mean of a step weighs runs by it. The learned slowness moves between values within 1/64 and 64 of the usual speed, so it is finite whatever was observed; `LearnedSpeed::observe` is the only place that changes it.

--- a/lib/src/runs/learned_speed.rs
+++ b/lib/src/runs/learned_speed.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use super::log_run_time::LogRunTime;
+use super::step_mean::StepMean;
+
 /// The variance of the log slowness before the first run: speeds of a service's upstreams differ by
 /// about a quarter.
 const PRIOR_VARIANCE: f64 = 0.05;
@@ -10,10 +13,6 @@
 /// about two fifths.
 const DECLARED_VARIANCE: f64 = 0.16;
 
-/// The variance of the log ratio of a run time to those of other tasks of its step: they differ by
-/// about a seventh.
-const SAME_STEP_VARIANCE: f64 = 0.02;
-
 /// What each run adds to the variance, since the speed of upstreams drifts.
 const DRIFT_VARIANCE: f64 = 0.0003;
 
@@ -23,6 +22,10 @@
 /// What such a run adds to the variance: after two the old speed no longer counts.
 const JUMP_VARIANCE: f64 = 0.1;
 
+/// The largest ratio of run times, either way, that counts as one of speeds: tasks differ by more, and
+/// upstreams do not.
+const MAX_SLOWNESS: f64 = 64.0;
+
 /// An upstream's slowness, learned by a Kalman filter over the natural logarithm of its run times
 /// relative to those on an upstream of usual speed.
 #[derive(Clone, Copy, Debug)]
@@ -58,25 +61,18 @@
 
     /// Learns from a run with a declared run time. `runs` is the number of runs that share the
     /// declaration, and so its error.
-    pub(crate) fn observe_declared(&mut self, declared: Duration, took: Duration, runs: usize) {
-        if !declared.is_zero() && !took.is_zero() {
-            let variance = DECLARED_VARIANCE * runs as f64;
-            self.observe(ln_seconds(took) - ln_seconds(declared), variance);
+    pub(crate) fn observe_declared(&mut self, declared: Duration, took: LogRunTime, runs: usize) {
+        if !declared.is_zero() {
+            let variance = DECLARED_VARIANCE * runs as f64 + took.variance;
+            let log_ratio = took.ln_seconds - LogRunTime::new(declared).ln_seconds;
+            self.observe(log_ratio, variance);
         }
     }
 
-    /// Learns from a run by comparing it to `others` runs of its step. `mean_ln_seconds` is the mean of
-    /// the logarithms of their run times at usual speed, in seconds.
-    pub(crate) fn observe_within_step(
-        &mut self,
-        took: Duration,
-        mean_ln_seconds: f64,
-        others: usize,
-    ) {
-        if others > 0 && !took.is_zero() {
-            let variance = SAME_STEP_VARIANCE * (1.0 + 1.0 / others as f64);
-            self.observe(ln_seconds(took) - mean_ln_seconds, variance);
-        }
+    /// Learns from a run by comparing it to the other runs of its step.
+    pub(crate) fn observe_within_step(&mut self, took: LogRunTime, others: &StepMean) {
+        let log_ratio = took.ln_seconds - others.ln_seconds();
+        self.observe(log_ratio, others.variance_of(took));
     }
 
     /// Learns from a run whose progress predicts a much longer run time than expected on this upstream.
@@ -84,14 +80,18 @@
     /// `usual` is its expected run time on an upstream of usual speed. A ratio to the time expected
     /// here would change with what was learned before: one report may list many such runs.
     pub(crate) fn observe_crawling(&mut self, usual: Duration, predicted: Duration) {
-        if !usual.is_zero() && !predicted.is_zero() {
-            let log_ratio = ln_seconds(predicted) - ln_seconds(usual);
-            self.observe(log_ratio, DECLARED_VARIANCE);
-        }
+        let (usual, predicted) = (LogRunTime::new(usual), LogRunTime::new(predicted));
+        let log_ratio = predicted.ln_seconds - usual.ln_seconds;
+        self.observe(log_ratio, DECLARED_VARIANCE + predicted.variance);
     }
 
     /// Updates the estimate with an observed log ratio of this variance.
+    ///
+    /// The estimate moves from one value within the largest ratio towards another, so it stays finite
+    /// and within it.
     fn observe(&mut self, log_ratio: f64, observed_variance: f64) {
+        let max_log_ratio = MAX_SLOWNESS.ln();
+        let log_ratio = log_ratio.clamp(-max_log_ratio, max_log_ratio);
         let innovation = log_ratio - self.log_slowness;
         self.variance += DRIFT_VARIANCE;
         if innovation.abs() > JUMP_DEVIATIONS * (self.variance + observed_variance).sqrt() {
@@ -102,8 +102,3 @@
         self.variance *= 1.0 - gain;
     }
 }
-
-/// The natural logarithm of a duration in seconds.
-pub(crate) fn ln_seconds(duration: Duration) -> f64 {
-    duration.as_secs_f64().ln()
-}
--- a/lib/src/runs/owner_speeds.rs
+++ b/lib/src/runs/owner_speeds.rs
@@ -4,10 +4,11 @@
 
 use super::held_batch::DoneRun;
 use super::held_batch::TaskIndex;
-use super::learned_speed::ln_seconds;
+use super::log_run_time::LogRunTime;
 use super::owner::Owner;
 use super::run_id::HeldBatchKey;
 use super::run_id::LeasedUpstreamKey;
+use super::step_mean::StepMean;
 
 impl Owner {
     /// Records a done run; once the batch's last task is done, learns the speeds of the upstreams that
@@ -41,22 +42,23 @@
     }
 
     fn learn_from_step(&mut self, declared: Duration, runs: &[&DoneRun]) {
-        let ln_at_usual_speed = |run: &DoneRun| {
+        let mut all = StepMean::default();
+        let mut samples = Vec::with_capacity(runs.len());
+        for run in runs {
             let upstream = self.upstreams.get(run.upstream_key);
             let log_slowness = upstream.map_or(0.0, |upstream| upstream.speed.log_slowness());
-            ln_seconds(run.took) - log_slowness
-        };
-        let logs: Vec<f64> = runs.iter().map(|run| ln_at_usual_speed(run)).collect();
-        let sum: f64 = logs.iter().sum();
-        let others = runs.len().saturating_sub(1);
-        for (run, log) in runs.iter().zip(logs) {
-            let Some(upstream) = self.upstreams.get_mut(run.upstream_key) else {
+            let took = LogRunTime::new(run.took);
+            all.add(took, log_slowness);
+            samples.push((run.upstream_key, took, log_slowness));
+        }
+        for (upstream_key, took, log_slowness) in samples {
+            let Some(upstream) = self.upstreams.get_mut(upstream_key) else {
                 continue;
             };
-            let mean = (sum - log) / others.max(1) as f64;
-            upstream.speed.observe_within_step(run.took, mean, others);
-            let speed = &mut upstream.speed;
-            speed.observe_declared(declared, run.took, runs.len());
+            if let Some(others) = all.without(took, log_slowness) {
+                upstream.speed.observe_within_step(took, &others);
+            }
+            upstream.speed.observe_declared(declared, took, runs.len());
         }
     }
 }
--- a/lib/tests/learned_speeds.rs
+++ b/lib/tests/learned_speeds.rs
@@ -53,3 +53,22 @@
     assert_eq!(completed(&site, 9_000, 40), 40);
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
+
+/// Guards against review/5: the logarithm of a run time of zero went into the mean of its step, and the
+/// speeds of the other tasks' upstreams became infinite.
+#[test]
+fn tasks_that_end_in_the_millisecond_of_their_start_change_no_other_speed() {
+    let mut plan = SitePlan::new(1, 1, 4);
+    // The first upstream ends its tasks within a millisecond.
+    plan.speeds = vec![1_000.0, 1.0, 1.0, 1.0];
+    let mut site = RunSite::start(&plan);
+    site.run_ms(1_000);
+    let job = run_job(8, 6_800, 60);
+    for number in 0..200_u64 {
+        site.submit(0, "look", &format!("{number:016x}"), &job);
+        site.run_ms(150);
+    }
+    site.run_ms(2_000);
+    assert_eq!(completed(&site, 0, 200), 200);
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
