lib: saturate products of durations

Change: `scaling` has the products that saturate, and all of the core uses them or the saturating operators. Clippy refuses `mul_f64`, `div_f64` and `from_secs_f64` in the core; the lint is off elsewhere, where tests scale durations that they chose.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,9 @@
 //! It performs no I/O. Time, randomness and events are passed in as values, and whatever has to be
 //! done is returned as typed actions.
 
+// Listed in clippy.toml.
+#![warn(clippy::disallowed_methods)]
+
 mod accepting;
 pub mod action;
 pub mod admission;
@@ -77,6 +80,7 @@
 mod running_attempt;
 mod running_mean;
 pub mod runs;
+mod scaling;
 pub mod schema;
 mod sent_batch;
 pub mod service;
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -4,6 +4,7 @@
 
 use crate::admission::Refusal;
 use crate::outcome::NotRunReason;
+use crate::scaling::from_seconds;
 use crate::time::Timestamp;
 
 /// The capacity of the token bucket, as the time in which it fills, in microseconds.
@@ -101,7 +102,7 @@
         let excess = (open_tasks - self.max_open_tasks).min(self.open_tasks);
         let wait = match self.ended_tasks_per_second {
             0 => DEFAULT_OPEN_TASKS_RETRY,
-            rate => Duration::from_secs_f64(f64::from(excess) / f64::from(rate)),
+            rate => from_seconds(f64::from(excess) / f64::from(rate)),
         };
         Err(quota_used_up(wait.max(MIN_OPEN_TASKS_RETRY)))
     }
--- a/lib/src/retry_after.rs
+++ b/lib/src/retry_after.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::scaling::scaled;
+
 /// The minimum time to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -22,5 +24,5 @@
     let wait = capacity_in.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
     let hashed = spread.wrapping_mul(FIBONACCI_MULTIPLIER);
     let share = f64::from(hashed) / f64::from(u32::MAX);
-    wait + (wait / SPREAD_DIVISOR).mul_f64(share)
+    wait + scaled(wait / SPREAD_DIVISOR, share)
 }
--- a/lib/src/run_estimate.rs
+++ b/lib/src/run_estimate.rs
@@ -6,6 +6,8 @@
 
 use crate::run_histogram::RunHistogram;
 use crate::running_mean::RunningMean;
+use crate::scaling::from_seconds;
+use crate::scaling::scaled;
 
 /// The estimate while no run time was measured or declared.
 pub const DEFAULT_RUN: Duration = Duration::from_millis(300);
@@ -53,7 +55,7 @@
     /// number beyond.
     pub fn longest_of(&self, tasks: u32) -> Duration {
         let share = f64::from(tasks.max(1)).ln() / TASKS_PER_HIGH_RUN.ln();
-        self.high.mul_f64(share.max(1.0))
+        scaled(self.high, share.max(1.0))
     }
 }
 
@@ -98,17 +100,17 @@
             let mean = declared.map_or(DEFAULT_RUN, |run_time| {
                 run_time.clamp(MIN_DECLARED_RUN, MAX_DECLARED_RUN)
             });
-            let high = mean.mul_f64(DEFAULT_HIGH_FACTOR);
+            let high = scaled(mean, DEFAULT_HIGH_FACTOR);
             return RunEstimateReading {
                 mean,
                 high,
                 samples,
             };
         }
-        let mean = Duration::from_secs_f64(self.run_time_s.mean());
+        let mean = from_seconds(self.run_time_s.mean());
         let estimate = declared.map_or(mean, |declared| self.weighted(mean, declared));
         let scale = log_of(estimate) - log_of(mean);
-        let high = self.histogram.quantile(HIGH_QUANTILE).mul_f64(scale.exp());
+        let high = scaled(self.histogram.quantile(HIGH_QUANTILE), scale.exp());
         RunEstimateReading {
             mean: estimate,
             high: high.max(estimate),
@@ -130,7 +132,7 @@
         let correction = self.run_time_of_declared_s.mean() / self.declared_run_time_s.mean();
         let corrected_log = log_of(declared) + correction.max(f64::MIN_POSITIVE).ln();
         let weighted_log = weight * corrected_log + (1.0 - weight) * log_of(mean);
-        let weighted = Duration::from_secs_f64(weighted_log.exp().min(MAX_ESTIMATE.as_secs_f64()));
+        let weighted = from_seconds(weighted_log.exp()).min(MAX_ESTIMATE);
         weighted.max(MIN_RUN)
     }
 }
--- a/lib/src/run_histogram.rs
+++ b/lib/src/run_histogram.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::scaling::scaled;
+
 /// The number of buckets for each doubling of the run time.
 const BUCKETS_PER_DOUBLING: f64 = 4.0;
 
@@ -67,5 +69,8 @@
 }
 
 fn upper_bound(bucket: usize) -> Duration {
-    FIRST_BUCKET_BOUND.mul_f64((bucket as f64 / BUCKETS_PER_DOUBLING).exp2())
+    scaled(
+        FIRST_BUCKET_BOUND,
+        (bucket as f64 / BUCKETS_PER_DOUBLING).exp2(),
+    )
 }
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -23,6 +23,7 @@
 use super::upstream_choice::PlacementRequest;
 use super::whole_ms::whole_ms;
 use crate::id::RequestId;
+use crate::scaling::scaled;
 
 /// The shortest wait before a retry that a refusal advises.
 const MIN_RETRY_AFTER: Duration = RETRY_AFTER_OVERLOAD;
@@ -114,7 +115,9 @@
         let suspension = &self.home.crashes.suspension;
         let remaining = suspension.remaining(self.now, &queue.name)?;
         // Otherwise all would come back at the moment when the queue goes on.
-        let retry_after = (remaining + return_spread(id)).max(MIN_RETRY_AFTER);
+        let retry_after = remaining
+            .saturating_add(return_spread(id))
+            .max(MIN_RETRY_AFTER);
         Some(not_run(NotRun::QueueSuspended, Some(retry_after)))
     }
 
@@ -135,14 +138,14 @@
         }
         let backlog = longest_wait(&mut views, spec, expected, wait);
         let chain = longest_chain(spec, expected);
-        let ends_too_late = backlog + chain.mul_f64(MIN_RUN_TIME_SHARE) > wait;
+        let ends_too_late = backlog.saturating_add(scaled(chain, MIN_RUN_TIME_SHARE)) > wait;
         let is_overdue = is_by_priority && backlog > objective(queue, spec, expected);
         if !ends_too_late && !is_overdue {
             return Ok(());
         }
         let mut retry_after = backlog.max(MIN_RETRY_AFTER);
         if is_by_priority {
-            retry_after += return_spread(id);
+            retry_after = retry_after.saturating_add(return_spread(id));
             self.home.counts.refused_by_priority += 1;
             tracing::info!(
                 job = %id, queue = %queue.name, priority = queue.priority, backlog_ms = whole_ms(backlog),
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -14,6 +14,7 @@
 use super::upstream_choice::PlacementRequest;
 use super::whole_ms::whole_ms;
 use crate::id::Incarnation;
+use crate::scaling::scaled;
 use crate::time::Timestamp;
 
 /// The index of a task in its batch.
@@ -146,7 +147,7 @@
             Some(_) => MIN_KNOWN_RUN_TIME_SHARE,
             None => MIN_RUN_TIME_SHARE,
         };
-        let min_run_time = self.expected_run_time(task).mul_f64(share);
+        let min_run_time = scaled(self.expected_run_time(task), share);
         Timestamp::ZERO + left.saturating_sub(min_run_time)
     }
 
@@ -170,7 +171,7 @@
             return self.waits_until(task);
         }
         let objective = self.objective_at().since(Timestamp::ZERO);
-        let run_time = self.expected_run_time(task).mul_f64(FAST_RUN_TIME_SHARE);
+        let run_time = scaled(self.expected_run_time(task), FAST_RUN_TIME_SHARE);
         let latest = Timestamp::ZERO + objective.saturating_sub(run_time);
         latest.min(self.waits_until(task))
     }
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -26,6 +26,7 @@
 use super::whole_ms::whole_ms;
 use crate::id::RequestId;
 use crate::run_estimate::RunEstimate;
+use crate::scaling::percent_of;
 use crate::time::Timestamp;
 use crate::timer::TimerService;
 
@@ -353,7 +354,7 @@
     expected_run_times: &[Duration],
 ) -> Duration {
     let chain = longest_chain(spec, expected_run_times);
-    chain * queue.stretch_percent.max(100) / 100 + queue.target_duration
+    percent_of(chain, queue.stretch_percent.max(100)).saturating_add(queue.target_duration)
 }
 
 /// The expected run time of the longest chain of dependent steps.
@@ -363,7 +364,7 @@
         let earlier = step.after.iter();
         let earlier = earlier.filter_map(|number| ends.get(*number as usize));
         let start = earlier.max().copied().unwrap_or_default();
-        ends.push(start + *run);
+        ends.push(start.saturating_add(*run));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/lib/src/runs/home_job.rs
+++ b/lib/src/runs/home_job.rs
@@ -19,6 +19,7 @@
 use super::upstream_choice::PlacementRequest;
 use super::whole_ms::whole_ms;
 use crate::id::RequestId;
+use crate::scaling::scaled;
 use crate::time::Timestamp;
 
 /// A job that has not ended, with its tasks and the requests that wait for it.
@@ -90,7 +91,7 @@
         let task = &mut self.tasks[task];
         task.avoid.push(upstream);
         let expected = self.expected_run_times[task.step as usize];
-        let is_believable = work < expected * SUSPICIOUS_FACTOR;
+        let is_believable = work < expected.saturating_mul(SUSPICIOUS_FACTOR);
         match task.suspected_run_time {
             Some(suspected) => task.known_run_time = Some(work.min(suspected)),
             None if is_believable => task.known_run_time = Some(work),
@@ -139,8 +140,11 @@
     pub(crate) fn min_run_time(&self, task: usize) -> Duration {
         let task = &self.tasks[task];
         match task.known_run_time {
-            Some(known) => known.mul_f64(MIN_KNOWN_RUN_TIME_SHARE),
-            None => self.expected_run_times[task.step as usize].mul_f64(MIN_RUN_TIME_SHARE),
+            Some(known) => scaled(known, MIN_KNOWN_RUN_TIME_SHARE),
+            None => scaled(
+                self.expected_run_times[task.step as usize],
+                MIN_RUN_TIME_SHARE,
+            ),
         }
     }
 
--- a/lib/src/runs/job_spec.rs
+++ b/lib/src/runs/job_spec.rs
@@ -135,7 +135,7 @@
                 .iter()
                 .filter_map(|number| ends.get(*number as usize));
             let start = earlier.max().copied().unwrap_or_default();
-            ends.push(start + step.declared_run_time);
+            ends.push(start.saturating_add(step.declared_run_time));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -12,6 +12,7 @@
 use super::run_id::OrderId;
 use super::whole_ms::whole_ms;
 use crate::id::Incarnation;
+use crate::scaling::percent_of;
 use crate::time::Timestamp;
 
 /// How many times its expected run time a run that has shown progress must have lasted to count as
@@ -192,7 +193,7 @@
             return None;
         }
         let left_percent = 99_u32.saturating_sub(u32::from(self.percent));
-        let left = self.predicted_run_time() * left_percent / 100;
+        let left = percent_of(self.predicted_run_time(), left_percent);
         Some(self.progressed_clock_ms.saturating_add(whole_ms(left)))
     }
 
@@ -200,7 +201,8 @@
     pub(crate) fn predicted_run_time(&self) -> Duration {
         let elapsed = self.run_time_at(self.progressed_clock_ms);
         // The percentage is rounded down.
-        elapsed * 100 / (u32::from(self.percent.saturating_sub(self.first_percent)) + 1)
+        elapsed.saturating_mul(100)
+            / (u32::from(self.percent.saturating_sub(self.first_percent)) + 1)
     }
 
     /// Whether a report of this time on the upstream's clock shows that it runs so slowly that its
@@ -215,8 +217,8 @@
         // Without progress since the last report it ends later still.
         let left = Duration::from_millis(end_ms.saturating_sub(clock_ms));
         let whole = self.predicted_run_time().max(self.run_time_at(clock_ms));
-        whole > self.expected_run_time * CRAWLING_FACTOR
-            && left > self.expected_run_time + MIN_RESTART_GAIN
+        whole > self.expected_run_time.saturating_mul(CRAWLING_FACTOR)
+            && left > self.expected_run_time.saturating_add(MIN_RESTART_GAIN)
     }
 
     /// Whether a report of this time on the upstream's clock shows that it has made no progress for
@@ -226,8 +228,8 @@
             return false;
         };
         let run_time = self.run_time_at(clock_ms);
-        let ran_too_long =
-            run_time > self.expected_run_time * STALLED_RUN_FACTOR || self.percent == 0;
+        let ran_too_long = run_time > self.expected_run_time.saturating_mul(STALLED_RUN_FACTOR)
+            || self.percent == 0;
         let unchanged_ms = clock_ms.saturating_sub(self.progressed_clock_ms);
         ran_too_long
             && run_time > self.expected_run_time
--- a/lib/src/runs/overload/recent_work.rs
+++ b/lib/src/runs/overload/recent_work.rs
@@ -84,7 +84,8 @@
             return 0;
         };
         let reserve = tasks.average_millicores(now) as u64;
-        let reserve = reserve * self.task_size(now, service).reserve_percent() / 100;
+        let percent = self.task_size(now, service).reserve_percent();
+        let reserve = reserve.saturating_mul(percent) / 100;
         let reserve = reserve.min(u64::from(total) / MAX_RESERVE_DIVISOR);
         u32::try_from(reserve).unwrap_or(u32::MAX)
     }
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -322,8 +322,8 @@
         for (batch_key, task) in &self.queue {
             let batch = &self.batches[*batch_key];
             if let Some(load) = loads.get_mut(&batch.service) {
-                load.queued_tasks += 1;
-                load.queued_core_ms += batch.core_ms(*task);
+                load.queued_tasks = load.queued_tasks.saturating_add(1);
+                load.queued_core_ms = load.queued_core_ms.saturating_add(batch.core_ms(*task));
                 if self.by_priority.contains(&batch.service) {
                     add_backlog(&mut load.backlog, batch.priority, batch.core_ms(*task));
                 }
--- a/lib/src/runs/owner_reports.rs
+++ b/lib/src/runs/owner_reports.rs
@@ -19,6 +19,7 @@
 use super::run_order::RunOutcome;
 use super::run_order::RunningRow;
 use super::whole_ms::whole_ms;
+use crate::scaling::scaled;
 use crate::time::Timestamp;
 
 impl Owner {
@@ -126,7 +127,7 @@
                 // Every end triggers a pass through the queue, whether or not it restored the upstream.
                 let _ = upstream.health.on_success(now);
                 let slowness = upstream.speed.slowness();
-                let work = run_time.map(|run_time| run_time.div_f64(slowness));
+                let work = run_time.map(|run_time| scaled(run_time, 1.0 / slowness));
                 RunEnd::Done {
                     work: work.unwrap_or_default(),
                 }
@@ -228,7 +229,7 @@
             return;
         };
         let predicted = leased.predicted_run_time();
-        leased.predicted_work = Some(predicted.div_f64(upstream.speed.slowness()));
+        leased.predicted_work = Some(scaled(predicted, 1.0 / upstream.speed.slowness()));
         if reason == StopReason::Crawling {
             let usual = leased.usual_run_time;
             upstream.speed.observe_crawling(usual, predicted);
--- a/lib/src/runs/owner_reserve.rs
+++ b/lib/src/runs/owner_reserve.rs
@@ -11,6 +11,7 @@
 use super::run_digest::RunLoad;
 use super::run_digest::add_backlog;
 use super::run_id::HeldBatchKey;
+use crate::scaling::percent_of;
 use crate::time::Timestamp;
 
 /// The largest part of the capacity that is kept free for all priorities together, as a divisor.
@@ -89,7 +90,7 @@
         reserves: &[PriorityBacklog],
     ) -> Option<FreeForTasks> {
         let batch = &self.batches[batch_key];
-        let needed = batch.expected_run_time(task) * RUN_TIME_MARGIN_PERCENT / 100;
+        let needed = percent_of(batch.expected_run_time(task), RUN_TIME_MARGIN_PERCENT);
         if batch.has_begun && batch.objective_left(now) <= needed {
             return None;
         }
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -28,6 +28,8 @@
 use super::run_order::RunOrder;
 use super::upstream_choice::CandidateUpstream;
 use super::whole_ms::whole_ms;
+use crate::scaling::percent_of;
+use crate::scaling::scaled;
 use crate::time::Timestamp;
 
 /// The maximum number of passes through the queue at a time: the end of a reservation lets other tasks
@@ -232,7 +234,7 @@
         }
         let lease = self.lease;
         let upstream = &mut self.upstreams[upstream_key];
-        let expected = usual.mul_f64(upstream.speed.slowness());
+        let expected = scaled(usual, upstream.speed.slowness());
         let Some(lease_until_ms) = upstream.extend_lease(now, lease) else {
             return self.requeue(Some((batch_key, task)), None);
         };
@@ -243,7 +245,7 @@
         if upstream.runs.len() == 1 {
             // The pending renew order may wait long, and its answer may be lost.
             let end_expected = OwnerTimer::EndExpected(upstream_key, now);
-            let at = now + expected * END_CHECK_PERCENT / 100 + END_CHECK_MARGIN;
+            let at = now + percent_of(expected, END_CHECK_PERCENT) + END_CHECK_MARGIN;
             self.timers.subscribe(at, end_expected);
         }
         let fence = upstream.fence;
--- a/lib/src/runs/upstream_choice.rs
+++ b/lib/src/runs/upstream_choice.rs
@@ -4,6 +4,8 @@
 
 use almondhead_macros::value;
 
+use crate::scaling::percent_of;
+
 /// A task that needs an upstream.
 #[value]
 #[derive(Copy)]
@@ -94,18 +96,19 @@
 impl PlacementRequest {
     /// Whether the task, if it runs there, is known to end after its caller has left.
     fn is_infeasible_on(&self, candidate: &CandidateUpstream) -> bool {
-        let run_time = self.expected_run_time * candidate.slowness_percent / 100;
+        let run_time = percent_of(self.expected_run_time, candidate.slowness_percent);
         self.is_run_time_known && run_time > self.deadline_left
     }
 
     /// Whether the task, if it runs there, ends by its objective and, with a margin, before its caller
     /// leaves.
     fn is_in_time_on(&self, candidate: &CandidateUpstream) -> bool {
-        let run_time = self.expected_run_time * candidate.slowness_percent / 100;
+        let run_time = percent_of(self.expected_run_time, candidate.slowness_percent);
         let safety_percent = match self.is_run_time_known {
             true => KNOWN_SAFETY_PERCENT,
             false => DECLARED_SAFETY_PERCENT,
         };
-        run_time <= self.objective_left && run_time * safety_percent / 100 <= self.deadline_left
+        run_time <= self.objective_left
+            && percent_of(run_time, safety_percent) <= self.deadline_left
     }
 }
--- a/lib/src/runs/upstream_clock.rs
+++ b/lib/src/runs/upstream_clock.rs
@@ -35,7 +35,9 @@
     /// than the later one says: an answer that waited to be read shows a time that has passed.
     pub fn latest(self, later: UpstreamClock) -> UpstreamClock {
         let elapsed_ms = whole_ms(later.read_at.since(self.read_at));
-        let slowest_ms = elapsed_ms - elapsed_ms * MAX_DRIFT_PER_MILLE / 1_000;
+        let slowest_ms = elapsed_ms
+            - elapsed_ms / 1_000 * MAX_DRIFT_PER_MILLE
+            - elapsed_ms % 1_000 * MAX_DRIFT_PER_MILLE / 1_000;
         match later.read_ms < self.read_ms.saturating_add(slowest_ms) {
             true => self,
             false => later,
@@ -56,7 +58,9 @@
     /// The latest time at which the clock comes to show more than `clock_ms`.
     pub fn certainly_passed_at(&self, clock_ms: u64) -> Timestamp {
         let left_ms = clock_ms.saturating_sub(self.read_ms).saturating_add(1);
-        let at_most_ms = left_ms.saturating_add(left_ms * MAX_DRIFT_PER_MILLE / 1_000 + 1);
+        let at_most_ms = left_ms
+            .saturating_add(left_ms / 1_000 * MAX_DRIFT_PER_MILLE)
+            .saturating_add(left_ms % 1_000 * MAX_DRIFT_PER_MILLE / 1_000 + 1);
         self.read_at + Duration::from_millis(at_most_ms)
     }
 }
