entry: end the process when one of its tasks panics

Cause: the executor catches the panic of a task and goes on with the others. The listeners stayed open, and the roster session went on to write the heartbeat of the instance's row, by which other instances leave its place to it.

Change: every task that our executor spawns is watched, and a panic ends the process with an error. The heartbeat of the row waits for an answer of the dispatcher, so that an instance that cannot dispatch becomes stale on the roster even if nothing has panicked.

--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -53,6 +53,7 @@
 mod spans;
 mod stopping;
 mod submission_body;
+pub mod task_supervisor;
 mod timer;
 mod upstream_client;
 mod wall_clock;
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -29,7 +29,7 @@
         .about("Runs one almondhead entry instance")
         .after_help(
             "Exit codes: 0 stopped as asked or settings are right, \
-             1 could not start, 2 wrong arguments or settings.",
+             1 could not start or failed inside, 2 wrong arguments or settings.",
         )
         .arg(
             Arg::new("settings")
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -85,6 +85,13 @@
     /// The signal handlers cannot be installed.
     #[display("listen for signals: {_0}")]
     Signals(io::Error),
+    /// A task of the process has panicked; what depends on it would wait for ever.
+    #[display("a task panicked: {message}")]
+    #[from(skip)]
+    TaskPanicked {
+        /// The message of the panic.
+        message: String,
+    },
 }
 
 /// Time that callers have to read their answers once the dispatcher is idle.
@@ -93,17 +100,18 @@
 /// How often a stopping process checks whether anything is still open.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Runs an entry process until it is asked to stop and nothing is open any more.
+/// Runs an entry process until it is asked to stop and nothing is open any more, or one of its tasks
+/// panics: then it ends at once, so that the platform starts it again and other instances replace it.
 ///
 /// `settings_file` is the file that the settings were read from; it is read again when it changes.
 ///
 /// # Errors
 ///
-/// [`ProcessError`] when a part of the process cannot start.
+/// [`ProcessError`] when a part of the process cannot start, or a task has panicked.
 pub fn run(settings: Settings, settings_file: &Path) -> Result<(), ProcessError> {
     let _log_writer = logging::start(&settings.log_filter);
-    executor::start(settings.executor_threads);
-    executor::block_on(async {
+    let failure = executor::start(settings.executor_threads);
+    let served = async {
         let signals = shutdown::listen()?;
         let watched = watch_settings(settings_file.into(), settings.clone(), signals.reload);
         executor::spawn(watched);
@@ -115,7 +123,12 @@
                 Ok(())
             }
         }
-    })
+    };
+    let panicked = async {
+        let message = failure.wait().await;
+        Err(ProcessError::TaskPanicked { message })
+    };
+    executor::block_on(or(served, panicked))
 }
 
 /// The parts of a running process that are shut down in order.
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -147,7 +147,8 @@
             leased.processor_millicores,
         );
         let grace = Duration::from_millis(leased.stop_grace_ms);
-        let (leave, deregistered) = spawn_registration(session, sink, registrations);
+        let (leave, deregistered) =
+            spawn_registration(session, handle.clone(), sink, registrations);
         Ok(RunProcess {
             handle,
             stopping,
@@ -275,20 +276,32 @@
 /// has been removed.
 fn spawn_registration(
     session: RosterSession,
+    handle: RunHandle,
     sink: EventSink,
     registrations: Receiver<()>,
 ) -> (async_channel::Sender<()>, Receiver<()>) {
     let (leave, leaving) = async_channel::bounded(1);
     let (deregistered_sender, deregistered) = async_channel::bounded(1);
-    let registered = keep_registered(session, sink, registrations, leaving, deregistered_sender);
+    let registered = keep_registered(
+        session,
+        handle,
+        sink,
+        registrations,
+        leaving,
+        deregistered_sender,
+    );
     executor::spawn(registered);
     (leave, deregistered)
 }
 
 /// Sends heartbeats for this instance's row in the roster until the process leaves, announces the
 /// leave, and removes the row once `leaving` is closed.
+///
+/// Each heartbeat waits for an answer of the dispatcher: the row of an instance that cannot dispatch
+/// becomes stale, and others remove it.
 async fn keep_registered(
     mut session: RosterSession,
+    handle: RunHandle,
     sink: EventSink,
     registrations: Receiver<()>,
     leaving: Receiver<()>,
@@ -300,7 +313,7 @@
         }
         let is_leaving = or(
             async {
-                session.step(&sink).await;
+                step_if_alive(&mut session, &handle, &sink).await;
                 false
             },
             async {
@@ -321,7 +334,7 @@
     loop {
         let is_closed = or(
             async {
-                session.step(&sink).await;
+                step_if_alive(&mut session, &handle, &sink).await;
                 false
             },
             async { leaving.recv().await.is_err() },
@@ -335,3 +348,12 @@
     }
     deregistered.send(()).await.ok();
 }
+
+/// Follows the roster and sends a heartbeat if one is due, once the dispatcher has answered; never
+/// returns when it has ended.
+async fn step_if_alive(session: &mut RosterSession, handle: &RunHandle, sink: &EventSink) {
+    match handle.status().await {
+        Some(_) => session.step(sink).await,
+        None => std::future::pending().await,
+    }
+}
