runs: use an upstream only by the entry of its current incarnation

Cause: the first report of a new incarnation made its upstream reachable with the service, capacity, labels and data centre of the entry that was known, which was that of the incarnation before until the next read of the entries. The times of birth of both were compared only when an entry arrived. The same held for an upstream that is taken over with an entry read before its restart.

Change: an upstream is in service only while its entry is of the incarnation that answers, which starts, lone runs, offered load, accepted batches and readiness depend on. Queued tasks of a kind that is gone return to their homes. A late report of an earlier incarnation is ignored, in place of counting as a second restart and a second crash of the same runs. Evacuation no longer returns tasks because of the data centre in an old entry.

The simulated site listed a restarted upstream never again; it now does so at once, as the platform's upstreams do, and counts a start without the required label as a violation.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -44,6 +44,7 @@
 mod owner_choice;
 mod owner_contact;
 mod owner_crashes;
+mod owner_entries;
 mod owner_evacuation;
 mod owner_lone_runs;
 mod owner_reports;
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -73,6 +73,8 @@
     pub(crate) furthest_clock: Option<UpstreamClock>,
     /// When its current incarnation began, where it reports that.
     pub(crate) born_unix_ms: Option<u64>,
+    /// The first order sent after its current incarnation was known.
+    pub(crate) incarnation_since: OrderId,
     /// The number of the last end that was handled.
     pub(crate) acknowledged_end: u64,
     /// The latest time on its clock until which a lease lasts.
@@ -113,6 +115,7 @@
             clock: None,
             furthest_clock: None,
             born_unix_ms: None,
+            incarnation_since: OrderId(0),
             acknowledged_end: 0,
             lease_until_ms: 0,
             runs: IndexMap::new(),
@@ -202,9 +205,27 @@
         self.is_in_service() && !self.is_evacuated
     }
 
-    /// Whether it is reachable, and neither released nor draining.
+    /// Whether it is reachable with a current entry, and neither released nor draining.
     pub(crate) fn is_in_service(&self) -> bool {
-        self.contact == Contact::Reachable && !self.is_released && !self.listed.draining
+        self.contact == Contact::Reachable
+            && self.has_current_entry()
+            && !self.is_released
+            && !self.listed.draining
+    }
+
+    /// Whether its entry is of the incarnation that answers; also while none has answered.
+    ///
+    /// An upstream may start again as another kind. Its entry is read later than its first report, and
+    /// until then its service, capacity, labels and data centre are unknown.
+    pub(crate) fn has_current_entry(&self) -> bool {
+        self.born_unix_ms
+            .is_none_or(|born_unix_ms| self.listed.born_unix_ms == Some(born_unix_ms))
+    }
+
+    /// Whether a report is of an earlier incarnation than the current one: it answers an order that was
+    /// sent before the current one was known.
+    pub(crate) fn is_outdated(&self, order: OrderId, born_unix_ms: Option<u64>) -> bool {
+        born_unix_ms != self.born_unix_ms && order < self.incarnation_since
     }
 
     /// Records a reading of its clock.
--- a/lib/src/runs/listed_upstream.rs
+++ b/lib/src/runs/listed_upstream.rs
@@ -33,6 +33,15 @@
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| &**own == label)
     }
+
+    /// Whether another entry is of the same incarnation, or of one that can run the same tasks.
+    pub(crate) fn is_alike(&self, other: &ListedUpstream) -> bool {
+        let kind = |upstream: &ListedUpstream| {
+            let (service, labels) = (upstream.service.clone(), upstream.labels.clone());
+            (service, labels, upstream.capacity)
+        };
+        self.born_unix_ms == other.born_unix_ms || kind(self) == kind(other)
+    }
 }
 
 /// A change in the list of upstreams.
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -146,6 +146,8 @@
     pub(crate) is_leaving: bool,
     /// Whether the queue needs another pass: something changed that may let a task start.
     pub(crate) is_dirty: bool,
+    /// Whether an upstream started again as another kind since the last pass.
+    pub(crate) has_changed_kinds: bool,
 }
 
 impl Owner {
@@ -175,6 +177,7 @@
             notices: Vec::new(),
             is_leaving: false,
             is_dirty: false,
+            has_changed_kinds: false,
         }
     }
 
@@ -221,28 +224,6 @@
         self.renew(now, upstream_key);
     }
 
-    fn update_listed(
-        &mut self,
-        now: Timestamp,
-        upstream_key: LeasedUpstreamKey,
-        listed: &Arc<ListedUpstream>,
-    ) {
-        let upstream = &mut self.upstreams[upstream_key];
-        upstream.is_released = false;
-        if upstream.listed == *listed {
-            return;
-        }
-        if upstream.listed.draining != listed.draining {
-            tracing::info!(upstream = %listed.id, draining = listed.draining, "upstream draining changed");
-        }
-        upstream.listed = listed.clone();
-        upstream.is_evacuated = self.evacuated.contains(&listed.data_centre);
-        if upstream.born_unix_ms.is_some() && listed.born_unix_ms > upstream.born_unix_ms {
-            self.begin_incarnation(now, upstream_key, listed.born_unix_ms);
-            self.renew(now, upstream_key);
-        }
-    }
-
     fn release(&mut self, upstream_key: LeasedUpstreamKey) {
         let upstream = &mut self.upstreams[upstream_key];
         if !upstream.is_released {
--- a/lib/src/runs/owner_contact.rs
+++ b/lib/src/runs/owner_contact.rs
@@ -195,11 +195,13 @@
         born_unix_ms: Option<u64>,
     ) {
         self.report_crash(now, upstream_key, "restarted");
+        let next_order = self.next_order_id();
         let upstream = &mut self.upstreams[upstream_key];
         upstream.crash_evidence = CrashEvidence::default();
         let id = &upstream.listed.id;
         tracing::warn!(upstream = %id, ?born_unix_ms, "upstream restarted");
         upstream.born_unix_ms = born_unix_ms;
+        upstream.incarnation_since = next_order;
         upstream.raise_fence();
         upstream.acknowledged_end = 0;
         upstream.furthest_clock = None;
--- a/lib/src/runs/owner_evacuation.rs
+++ b/lib/src/runs/owner_evacuation.rs
@@ -55,6 +55,7 @@
         let suitable = self.upstreams.values().filter(|upstream| {
             !upstream.is_released
                 && !upstream.listed.draining
+                && upstream.has_current_entry()
                 && upstream.listed.service == batch.service
                 && demand.resources.fits(upstream.listed.capacity)
                 && label.is_none_or(|label| upstream.listed.has_label(label))
--- a/lib/src/runs/owner_reports.rs
+++ b/lib/src/runs/owner_reports.rs
@@ -33,6 +33,11 @@
     ) -> bool {
         let lease = self.lease;
         let upstream = &mut self.upstreams[upstream_key];
+        if upstream.is_outdated(answered.order, report.born_unix_ms) {
+            let (upstream, born_unix_ms) = (&upstream.listed.id, report.born_unix_ms);
+            tracing::info!(%upstream, ?born_unix_ms, "report of an earlier incarnation ignored");
+            return false;
+        }
         let is_first_report = upstream.contact == Contact::TakingOver;
         if upstream.born_unix_ms.is_some() && report.born_unix_ms != upstream.born_unix_ms {
             self.begin_incarnation(now, upstream_key, report.born_unix_ms);
@@ -50,7 +55,8 @@
         upstream.last_report_clock_ms = report.clock_ms;
         upstream.last_report_at = now;
         if upstream.contact != Contact::Reachable {
-            tracing::info!(upstream = %upstream.listed.id, "upstream reachable");
+            let has_current_entry = upstream.has_current_entry();
+            tracing::info!(upstream = %upstream.listed.id, has_current_entry, "upstream reachable");
             upstream.contact = Contact::Reachable;
             self.mark_dirty();
         }
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -65,6 +65,7 @@
         }
         self.drop_too_late(now);
         self.return_evacuated();
+        self.return_unservable();
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort_by_cached_key(|(batch_key, task)| {
             let batch = &self.batches[*batch_key];
--- a/lib/testsupport/src/run_site/site_actions.rs
+++ b/lib/testsupport/src/run_site/site_actions.rs
@@ -262,14 +262,24 @@
         self.deadly_jobs.insert(id.to_owned(), fault);
     }
 
-    /// Restarts an upstream under the same name, as a new incarnation without its runs.
+    /// Restarts an upstream under the same name, as a new incarnation without its runs, which lists
+    /// itself at once.
     pub fn restart_upstream(&mut self, upstream: usize) {
+        let labels = self.upstreams[upstream].listed.labels.clone();
+        let labels: Vec<&str> = labels.iter().map(|label| &**label).collect();
+        self.restart_upstream_as(upstream, &labels);
+    }
+
+    /// Restarts an upstream as another kind: with these labels in place of its own.
+    pub fn restart_upstream_as(&mut self, upstream: usize, labels: &[&str]) {
         let state = &mut self.upstreams[upstream];
         state.fault = None;
         state.reset(self.now);
         let mut listed = (*state.listed).clone();
         listed.born_unix_ms = listed.born_unix_ms.map(|born| born + 1_000);
+        listed.labels = labels.iter().map(|label| Arc::from(*label)).collect();
         state.listed = Arc::new(listed);
+        self.list_again(upstream);
     }
 
     /// Makes all upstreams start whatever they are ordered to, also beyond their capacity.
--- a/lib/testsupport/src/run_site/site_orders.rs
+++ b/lib/testsupport/src/run_site/site_orders.rs
@@ -174,6 +174,13 @@
         let was_running = self.upstreams[upstream].runs.contains_key(&run);
         self.upstreams[upstream].start(self.now, &request)?;
         let state = &self.upstreams[upstream];
+        let label = job.steps[run.task.step as usize].required_label.as_ref();
+        if label.is_some_and(|label| !state.listed.labels.contains(label)) {
+            let (at, id) = (self.now_ms(), &state.listed.id);
+            self.violations.push(format!(
+                "{run} started at {at} ms without its required label on {id}"
+            ));
+        }
         let is_known = self.now.since(state.capacity_changed_at) > CAPACITY_GRACE;
         if !was_running && is_known && state.is_over_capacity() {
             let at = self.now_ms();
