platform: let an odd row cost itself alone

Asked by the operators: whether one odd entry among those of the upstreams can end the instances that read them or make them stop following the others.

Found: no entry ended a process. A report without a time of birth counted as a restart.

Change: rows are split first and decoded one by one.

--- a/lib/src/peer_codec.rs
+++ b/lib/src/peer_codec.rs
@@ -32,6 +32,7 @@
 pub use self::field::MAX_NAME_BYTES;
 pub use self::field::MAX_SERVICES;
 pub use self::field::MAX_TASKS;
+pub use self::listing::MAX_LABELS;
 
 use self::field::bounded;
 use self::field::name;
--- a/lib/src/peer_codec/listing.rs
+++ b/lib/src/peer_codec/listing.rs
@@ -15,7 +15,7 @@
 const MAX_CHANGES: usize = 16_384;
 
 /// The maximum number of labels of an upstream.
-const MAX_LABELS: usize = 256;
+pub const MAX_LABELS: usize = 256;
 
 impl From<ListingUpdate> for proto::ListingUpdate {
     fn from(update: ListingUpdate) -> Self {
@@ -32,11 +32,10 @@
 
     fn try_from(update: proto::ListingUpdate) -> Result<Self, DecodeError> {
         let changes = bounded("listing.changes", update.changes, MAX_CHANGES)?;
-        let changes = changes.into_iter().map(TryInto::try_into);
         Ok(ListingUpdate {
             after: update.after,
             version: update.version,
-            changes: changes.collect::<Result<_, _>>()?,
+            changes: changes.into_iter().filter_map(decode_change).collect(),
         })
     }
 }
@@ -51,18 +50,24 @@
     }
 }
 
-impl TryFrom<proto::ListingChange> for ListingChange {
-    type Error = DecodeError;
+/// Decodes a change; an upstream whose entry is not valid counts as removed, and a change without a
+/// valid id is left out, so that neither costs the other changes.
+fn decode_change(change: proto::ListingChange) -> Option<ListingChange> {
+    let id = name("listing.changes.id", change.id).inspect_err(log_invalid);
+    let id = id.ok()?;
+    let upstream = change.upstream.and_then(|body| {
+        let decoded = decode_upstream(&id, body).inspect_err(log_invalid);
+        decoded.ok().map(Arc::new)
+    });
+    Some(ListingChange {
+        id,
+        version: change.version,
+        upstream,
+    })
+}
 
-    fn try_from(change: proto::ListingChange) -> Result<Self, DecodeError> {
-        let id = name("listing.changes.id", change.id)?;
-        let upstream = change.upstream.map(|body| decode_upstream(&id, body));
-        Ok(ListingChange {
-            upstream: upstream.transpose()?.map(Arc::new),
-            id,
-            version: change.version,
-        })
-    }
+fn log_invalid(error: &DecodeError) {
+    tracing::warn!(%error, "relayed entry of an upstream not valid");
 }
 
 fn encode_upstream(upstream: &ListedUpstream) -> proto::ListedUpstream {
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -141,7 +141,10 @@
     /// Raises the fence for the next incarnation of the upstream, which remembers no fence: it must not
     /// accept a start that was sent to the previous one and arrives late.
     pub(crate) fn raise_fence(&mut self) {
-        let is_last = (self.fence + 1).is_multiple_of(FENCES_PER_VERSION);
+        let is_last = self
+            .fence
+            .wrapping_add(1)
+            .is_multiple_of(FENCES_PER_VERSION);
         self.fence += u64::from(!is_last);
     }
 
--- a/lib/src/runs/owner_reports.rs
+++ b/lib/src/runs/owner_reports.rs
@@ -39,7 +39,8 @@
             return false;
         }
         let is_first_report = upstream.contact == Contact::TakingOver;
-        if upstream.born_unix_ms.is_some() && report.born_unix_ms != upstream.born_unix_ms {
+        let is_known = upstream.born_unix_ms.is_some() && report.born_unix_ms.is_some();
+        if is_known && report.born_unix_ms != upstream.born_unix_ms {
             self.begin_incarnation(now, upstream_key, report.born_unix_ms);
         }
         let upstream = &mut self.upstreams[upstream_key];
--- a/lib/src/runs/peer_table.rs
+++ b/lib/src/runs/peer_table.rs
@@ -145,9 +145,12 @@
     }
 
     /// The instance that this incarnation belongs to.
+    ///
+    /// Where several rows of the roster name it, the instance whose messages arrive.
     pub(crate) fn by_incarnation(&self, incarnation: Incarnation) -> Option<PeerKey> {
-        let mut peers = self.peers.iter();
-        let found = peers.find(|(_, peer)| peer.incarnation == incarnation);
+        let peers = self.peers.iter();
+        let found = peers.filter(|(_, peer)| peer.incarnation == incarnation);
+        let found = found.max_by_key(|(_, peer)| peer.last_contact_at);
         found.map(|(key, _)| key)
     }
 
