runs: log on which version, how old and from where, a decision is made

A refused request named the version of the intended state, a start nothing of the entries of upstreams. Nothing told whether a decision was late because the store, an instance that passes on, or this process was.

'request answered at once' now also has the origin of the intended state, since when it is in force, and before when all that operators wrote was read. Reads are dated by their request; relayed updates carry their age, which older programs ignore. No decision depends on any of it yet.

--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -15,6 +15,7 @@
 use almondhead_platform::EventSink;
 use almondhead_platform::ListingSwitch;
 use almondhead_platform::OrderClient;
+use almondhead_platform::ReadClock;
 use almondhead_platform::RosterSession;
 use almondhead_platform::StoreClient;
 use almondhead_platform::StoreContact;
@@ -122,7 +123,8 @@
         };
         let run_settings = run_settings(&settings, &leased, &identity);
         let dispatcher = RunDispatcher::new(run_settings, Box::new(StoredIntendedDecoder));
-        executor::spawn(RunDriver::new(dispatcher, Clock::start(), commands, effects).run());
+        let clock = Clock::start();
+        executor::spawn(RunDriver::new(dispatcher, clock, commands, effects).run());
         let key = shared_key(&store, &settings).await;
         let peer_settings = PeerSettings {
             identity: identity.clone(),
@@ -132,12 +134,7 @@
         let (transport, incoming) = TcpTransport::start(peer_settings)?;
         peers.start(transport);
         executor::spawn(receive_messages(incoming, handle.clone()));
-        executor::spawn(watch_intended(Arc::clone(&store), Arc::clone(&sink)));
-        executor::spawn(watch_upstreams(
-            Arc::clone(&store),
-            listing_switch,
-            Arc::clone(&sink),
-        ));
+        spawn_watches(&store, listing_switch, clock, &sink);
         let session = RosterSession::new(
             store,
             settings.instance,
@@ -260,6 +257,20 @@
     }
 }
 
+/// Starts to read what operators and upstreams write in the store.
+fn spawn_watches(
+    store: &Arc<StoreClient>,
+    listing_switch: Arc<ListingSwitch>,
+    clock: Clock,
+    sink: &EventSink,
+) {
+    let clock: ReadClock = Arc::new(move || clock.now());
+    let (store, sink) = (Arc::clone(store), Arc::clone(sink));
+    let intended = watch_intended(Arc::clone(&store), Arc::clone(&clock), Arc::clone(&sink));
+    executor::spawn(intended);
+    executor::spawn(watch_upstreams(store, listing_switch, clock, sink));
+}
+
 /// Hands the messages of other instances to the driver until the transport is dropped.
 async fn receive_messages(incoming: Incoming, handle: RunHandle) {
     while let Ok(envelope) = incoming.recv().await {
--- a/lib/src/peer_codec/listing.rs
+++ b/lib/src/peer_codec/listing.rs
@@ -1,11 +1,13 @@
 //! Wire encoding of changes of the upstreams' entries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::peer_codec::field::DecodeError;
 use crate::peer_codec::field::bounded;
 use crate::peer_codec::field::name;
 use crate::peer_codec::field::required;
+use crate::peer_codec::field::to_us;
 use crate::peer_proto as proto;
 use crate::runs::listed_upstream::ListedUpstream;
 use crate::runs::listed_upstream::ListingChange;
@@ -23,6 +25,7 @@
             after: update.after,
             version: update.version,
             changes: update.changes.into_iter().map(Into::into).collect(),
+            age_us: update.age.map(to_us),
         }
     }
 }
@@ -36,6 +39,7 @@
             after: update.after,
             version: update.version,
             changes: changes.into_iter().filter_map(decode_change).collect(),
+            age: update.age_us.map(Duration::from_micros),
         })
     }
 }
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -870,6 +870,9 @@
     /// Those that decide something.
     #[prost(message, repeated, tag = "3")]
     pub changes: ::prost::alloc::vec::Vec<ListingChange>,
+    /// How long before the update was sent its read was requested.
+    #[prost(uint64, optional, tag = "4")]
+    pub age_us: ::core::option::Option<u64>,
 }
 /// A change of an upstream's entry.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -97,7 +97,7 @@
             RunMessage::Crashes(reports) => self.record_crashes(&reports),
             RunMessage::CrashRequest => self.send_crashes(peer),
             RunMessage::Listing(update) => {
-                self.handle_listing_update(&sender.instance, update);
+                self.handle_listing_update(&sender.instance, echo, update);
             }
             RunMessage::CancelJob { job } => {
                 self.home.cancel(now, job);
@@ -105,7 +105,7 @@
             RunMessage::IntendedRequest { have_version } => {
                 self.send_intended(peer, have_version);
             }
-            RunMessage::IntendedBody { body, .. } => self.handle_intended_body(body),
+            RunMessage::IntendedBody { body, .. } => self.handle_intended_body(peer, body),
             RunMessage::EvacuationRequest { have_version } => {
                 self.send_evacuation(peer, have_version);
             }
@@ -171,9 +171,12 @@
         self.send(peer, message);
     }
 
-    fn handle_intended_body(&mut self, body: Bytes) {
+    fn handle_intended_body(&mut self, peer: PeerKey, body: Bytes) {
         match self.decoder.decode(&body) {
-            Some(state) => self.install_intended_state(Arc::new(state), body),
+            Some(state) => {
+                let origin = self.origin(peer);
+                self.install_intended_state(Arc::new(state), body, origin);
+            }
             None => tracing::warn!(
                 bytes = body.len(),
                 "intended state from another instance is not valid"
--- a/lib/src/runs/event.rs
+++ b/lib/src/runs/event.rs
@@ -15,6 +15,7 @@
 use super::run_order::OrderAnswer;
 use crate::event::PeerIdentity;
 use crate::id::RequestId;
+use crate::time::Timestamp;
 
 /// An input of [`RunDispatcher`](super::run_dispatcher::RunDispatcher).
 #[derive(Clone, Debug)]
@@ -44,6 +45,12 @@
         /// The stored bytes, for passing it on to other instances.
         body: Bytes,
     },
+    /// The operators' rows were read, after the events with what has changed: nothing else had been
+    /// written when the read was requested.
+    OperatorsRead {
+        /// When the read was requested.
+        requested_at: Timestamp,
+    },
     /// The evacuated data centres were read from the platform's store, all of them.
     EvacuationRead(EvacuatedDataCentres),
     /// The upstreams' entries were read from the platform's store.
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -107,6 +107,8 @@
     pub(crate) batches: IndexMap<(OwnerRef, u64), OpenBatch>,
     /// The names of the owners' instances, for logs.
     owner_names: IndexMap<OwnerRef, Arc<str>>,
+    /// The version of the intended state in force, for logs.
+    pub(crate) intended_version: u64,
     last_batch_number: u64,
     /// Run time estimates by queue name.
     pub(crate) estimates: IndexMap<Arc<str>, RunEstimate>,
@@ -220,7 +222,7 @@
             spec,
         };
         job.unblock();
-        log_accepted(now, &job);
+        log_accepted(now, &job, self.intended_version);
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.requests.insert(request, key);
@@ -369,7 +371,7 @@
     ends.into_iter().max().unwrap_or_default()
 }
 
-fn log_accepted(now: Timestamp, job: &HomeJob) {
+fn log_accepted(now: Timestamp, job: &HomeJob, intended_version: u64) {
     let step = job.spec.steps.first();
     let declared = step.map(|step| step.declared_run_time).unwrap_or_default();
     let expected = job.expected_run_times.first().copied().unwrap_or_default();
@@ -379,7 +381,7 @@
         declared_ms = whole_ms(declared), expected_ms = whole_ms(expected),
         objective_ms = whole_ms(job.objective_at.since(now)),
         limit_ms = whole_ms(job.deadline.since(now)),
-        queue_timeout_ms = job.queue.timeout.map(whole_ms),
+        queue_timeout_ms = job.queue.timeout.map(whole_ms), intended_version,
         "job accepted"
     );
 }
--- a/lib/src/runs/listed_upstream.rs
+++ b/lib/src/runs/listed_upstream.rs
@@ -6,6 +6,7 @@
 use almondhead_macros::value;
 
 use super::resources::Resources;
+use crate::time::Timestamp;
 
 /// An upstream's entry in the platform's list.
 #[value]
@@ -64,4 +65,7 @@
     pub version: u64,
     /// The entries that have changed.
     pub changes: Vec<ListingChange>,
+    /// The time before which every change has been read, which is when the read was requested; none if
+    /// more changes wait to be read.
+    pub as_of: Option<Timestamp>,
 }
--- a/lib/src/runs/listing_relay.rs
+++ b/lib/src/runs/listing_relay.rs
@@ -13,7 +13,9 @@
 use indexmap::IndexSet;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::fact_origin::FactOrigin;
 use super::listed_upstream::ListingChange;
+use super::listing_knowledge::ListingKnowledge;
 use super::roster::Member;
 use super::roster::Roster;
 use crate::time::Timestamp;
@@ -45,6 +47,9 @@
     pub version: u64,
     /// The changes that decide something, by version.
     pub changes: Vec<ListingChange>,
+    /// How long before the update was sent every change of its version or earlier was known; none if the
+    /// sender does not know.
+    pub age: Option<Duration>,
 }
 
 /// Whether this instance reads the entries, and which changes it knows.
@@ -55,8 +60,8 @@
     /// The instances that read for this one; empty where each reads for itself.
     readers: IndexSet<Arc<str>>,
     is_reader: bool,
-    /// The version up to which all changes are known; none before the first read.
-    version: Option<u64>,
+    /// Which changes are known.
+    known: ListingKnowledge,
     /// The versions known within [`MAX_UPDATE_LAG`], and the one before, with the times of learning.
     recent_versions: VecDeque<(Timestamp, u64)>,
     /// When the last update that joined what was known arrived from a reader.
@@ -102,12 +107,24 @@
         let is_updated = self
             .updated_at
             .is_some_and(|at| now.since(at) < READER_TIMEOUT);
-        self.is_reader || self.has_gap || self.version.is_none() || !is_updated
+        self.is_reader || self.has_gap || self.known.version.is_none() || !is_updated
     }
 
     /// The version up to which all changes are known; none before the first read.
     pub(crate) fn version(&self) -> Option<u64> {
-        self.version
+        self.known.version
+    }
+
+    /// Which changes are known.
+    pub(crate) fn known(&self) -> &ListingKnowledge {
+        &self.known
+    }
+
+    fn record_as_of(&mut self, as_of: Option<Timestamp>, origin: FactOrigin) {
+        if as_of > self.known.as_of {
+            self.known.as_of = as_of;
+            self.known.origin = origin;
+        }
     }
 
     /// The instances that this one reads for.
@@ -117,15 +134,21 @@
 
     /// Records a read of this instance's own; returns the version after which it brought changes, if
     /// others can join it to what they know.
-    pub(crate) fn record_read(&mut self, now: Timestamp, version: u64) -> Option<u64> {
+    pub(crate) fn record_read(
+        &mut self,
+        now: Timestamp,
+        version: u64,
+        as_of: Option<Timestamp>,
+    ) -> Option<u64> {
         self.has_gap = false;
-        let before = self.version;
+        self.record_as_of(as_of, FactOrigin::Store);
+        let before = self.known.version;
         self.set_version(now, before.map_or(version, |known| known.max(version)));
         before
     }
 
     fn set_version(&mut self, now: Timestamp, version: u64) {
-        self.version = Some(version);
+        self.known.version = Some(version);
         self.recent_versions.push_back((now, version));
         // Keeps one that is older than the lag.
         while self
@@ -151,19 +174,25 @@
     ///
     /// Only an update that is at least as new as what was known [`MAX_UPDATE_LAG`] ago counts as news:
     /// one that was delayed is older than what this instance has learned meanwhile.
+    ///
+    /// `sent_at` is when it was sent, on this instance's clock, if that is known.
     pub(crate) fn record_update(
         &mut self,
         now: Timestamp,
-        sender: &str,
+        sender: &Arc<str>,
+        sent_at: Option<Timestamp>,
         update: &ListingUpdate,
     ) -> bool {
-        let Some(known) = self.version.filter(|known| *known >= update.after) else {
+        let Some(known) = self.known.version.filter(|known| *known >= update.after) else {
             self.has_gap = true;
             return false;
         };
+        let as_of = sent_at.zip(update.age);
+        let as_of = as_of.map(|(sent_at, age)| sent_at.before(age));
+        self.record_as_of(as_of, FactOrigin::Instance(sender.clone()));
         let is_news = update.version >= self.version_known_at(now, known);
         self.set_version(now, known.max(update.version));
-        if is_news && self.readers.contains(sender) {
+        if is_news && self.readers.contains(&**sender) {
             self.updated_at = Some(now);
         }
         true
--- a/lib/src/runs/listing_updates.rs
+++ b/lib/src/runs/listing_updates.rs
@@ -1,26 +1,32 @@
 //! What the dispatcher does with changes of the upstreams' entries, read here or by another instance.
 
+use std::sync::Arc;
+
 use super::listed_upstream::ListingRead;
 use super::listing_relay::ListingUpdate;
 use super::run_action::RunAction;
 use super::run_dispatcher::RunDispatcher;
 use super::run_message::RunMessage;
 use super::upstream_listing::AppliedChanges;
+use crate::time::Timestamp;
 
 impl RunDispatcher {
     /// Applies a read of the upstreams' entries, and passes on what it changed where this instance
     /// reads for others.
     pub(crate) fn handle_listing_read(&mut self, read: ListingRead) {
-        let version = read.version;
+        let (version, as_of) = (read.version, read.as_of);
         let applied = self.listing.apply_read(self.now, read);
+        let relay = &mut self.listing_relay;
+        let after = relay.record_read(self.now, version, as_of);
         self.follow_listing(&applied);
-        let Some(after) = self.listing_relay.record_read(self.now, version) else {
+        let Some(after) = after else {
             return;
         };
         let update = ListingUpdate {
             after,
             version,
             changes: applied.deciding,
+            age: as_of.map(|as_of| self.now.since(as_of)),
         };
         let receivers = self.listing_relay.receivers();
         let receivers = receivers.filter_map(|name| self.peers.by_name(name));
@@ -30,11 +36,18 @@
     }
 
     /// Applies what another instance has read of the upstreams' entries.
-    pub(crate) fn handle_listing_update(&mut self, sender: &str, update: ListingUpdate) {
+    ///
+    /// `sent_at` is when it was sent, on this instance's clock, if that is known.
+    pub(crate) fn handle_listing_update(
+        &mut self,
+        sender: &Arc<str>,
+        sent_at: Option<Timestamp>,
+        update: ListingUpdate,
+    ) {
         let relay = &mut self.listing_relay;
-        if !relay.record_update(self.now, sender, &update) {
+        if !relay.record_update(self.now, sender, sent_at, &update) {
             tracing::info!(
-                instance = sender,
+                instance = %sender,
                 after = update.after,
                 known = relay.version(),
                 "changes of the listing missed: reading it"
@@ -47,6 +60,7 @@
 
     /// Takes over and releases upstreams as the changes of the listing require.
     fn follow_listing(&mut self, applied: &AppliedChanges) {
+        self.owner.listing = self.listing_relay.known().clone();
         self.forget_upstreams(&applied.gone);
         if !applied.deciding.is_empty() {
             self.assign_upstreams();
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -16,6 +16,7 @@
 use super::held_queue::QueueRanking;
 use super::leased_upstream::LeasedUpstream;
 use super::listed_upstream::ListedUpstream;
+use super::listing_knowledge::ListingKnowledge;
 use super::overload::caller_cost::CallerCost;
 use super::overload::recent_work::RecentWork;
 use super::resources::Resources;
@@ -130,6 +131,8 @@
     pub(crate) relinquished: IndexMap<Arc<str>, u64>,
     /// The data centres on whose upstreams nothing new starts.
     pub(crate) evacuated: EvacuatedDataCentres,
+    /// Which changes of the upstreams' entries are known, for logs.
+    pub(crate) listing: ListingKnowledge,
     pub(crate) ranking: Box<dyn QueueRanking>,
     /// The ranking of tasks of the services in `by_priority`.
     pub(crate) cost_ranking: Box<dyn QueueRanking>,
@@ -166,6 +169,7 @@
             next_order_id: 1,
             relinquished: IndexMap::new(),
             evacuated: EvacuatedDataCentres::default(),
+            listing: ListingKnowledge::default(),
             ranking: Box::new(LeastSlack),
             cost_ranking: Box::new(CallerCost),
             by_priority: IndexSet::new(),
--- a/lib/src/runs/requesting.rs
+++ b/lib/src/runs/requesting.rs
@@ -9,6 +9,7 @@
 use super::run_answer::RunAnswer;
 use super::run_dispatcher::RunDispatcher;
 use super::run_message::RunMessage;
+use super::whole_ms::whole_ms;
 use crate::id::RequestId;
 
 impl RunDispatcher {
@@ -38,7 +39,15 @@
         if let Some(answer) = answer {
             if !matches!(answer, RunAnswer::Waiting(_) | RunAnswer::State(_)) {
                 let version = self.intended.as_ref().map_or(0, |state| state.version);
-                tracing::info!(path, version, ?answer, "request answered at once");
+                tracing::info!(
+                    path,
+                    version,
+                    origin = %self.intended_origin,
+                    in_force_ms = whole_ms(self.now.since(self.intended_since)),
+                    checked_ms = self.operators_as_of.map(|at| whole_ms(self.now.since(at))),
+                    ?answer,
+                    "request answered at once"
+                );
             }
             self.answer(request, answer);
         }
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -12,6 +12,7 @@
 use super::delegation::sent_jobs::SentJobs;
 use super::evacuation::Evacuation;
 use super::event::RunEvent;
+use super::fact_origin::FactOrigin;
 use super::home::Home;
 use super::intended_state::IntendedState;
 use super::listing_relay::ListingRelay;
@@ -83,6 +84,12 @@
     /// The stored bytes of the intended state, for passing it on.
     pub(crate) intended_body: Bytes,
     pub(crate) decoder: Box<dyn IntendedDecoder>,
+    /// Since when the intended state is in force.
+    pub(crate) intended_since: Timestamp,
+    /// Where it came from.
+    pub(crate) intended_origin: FactOrigin,
+    /// The time before which all that operators wrote has been read; none before the first read.
+    pub(crate) operators_as_of: Option<Timestamp>,
     pub(crate) evacuation: Evacuation,
     pub(crate) roster: Roster,
     pub(crate) assignment: OwnAssignment,
@@ -124,6 +131,9 @@
             intended: None,
             intended_body: Bytes::new(),
             decoder,
+            intended_since: Timestamp::ZERO,
+            intended_origin: FactOrigin::default(),
+            operators_as_of: None,
             evacuation: Evacuation::default(),
             roster: Roster::default(),
             assignment: OwnAssignment::default(),
@@ -271,7 +281,12 @@
                 self.home.drop_request(self.now, request);
                 self.drop_delegated_request(request);
             }
-            RunEvent::IntendedRead { state, body } => self.install_intended_state(state, body),
+            RunEvent::IntendedRead { state, body } => {
+                self.install_intended_state(state, body, FactOrigin::Store);
+            }
+            RunEvent::OperatorsRead { requested_at } => {
+                self.operators_as_of = self.operators_as_of.max(Some(requested_at));
+            }
             RunEvent::EvacuationRead(set) => self.install_evacuation(set),
             RunEvent::ListingRead(read) => self.handle_listing_read(read),
             RunEvent::RosterRead(roster) => self.apply_roster(roster),
@@ -304,7 +319,12 @@
     }
 
     /// Replaces the intended state if the version is newer.
-    pub(crate) fn install_intended_state(&mut self, state: Arc<IntendedState>, body: Bytes) {
+    pub(crate) fn install_intended_state(
+        &mut self,
+        state: Arc<IntendedState>,
+        body: Bytes,
+        origin: FactOrigin,
+    ) {
         let current = self.intended.as_ref().map_or(0, |state| state.version);
         if state.version <= current {
             return;
@@ -318,11 +338,15 @@
         tracing::info!(
             version = state.version,
             before = current,
+            %origin,
             queues = state.queues.len(),
             prioritised_services = self.owner.by_priority.len(),
             "intended state in force"
         );
+        self.home.intended_version = state.version;
         self.intended = Some(state);
+        self.intended_since = self.now;
+        self.intended_origin = origin;
         self.intended_body = body;
         self.send_reports();
     }
--- a/lib/src/time.rs
+++ b/lib/src/time.rs
@@ -31,6 +31,14 @@
     pub const fn since(self, earlier: Timestamp) -> Duration {
         Duration::from_micros(self.us.saturating_sub(earlier.us))
     }
+
+    /// The point `duration` earlier, or the start of the process.
+    pub fn before(self, duration: Duration) -> Timestamp {
+        let earlier_us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Timestamp {
+            us: self.us.saturating_sub(earlier_us),
+        }
+    }
 }
 
 impl Add<Duration> for Timestamp {
--- a/lib/tests/listing_codec.rs
+++ b/lib/tests/listing_codec.rs
@@ -1,6 +1,7 @@
 //! The wire form of changes of the upstreams' entries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondhead_lib::runs::listed_upstream::ListedUpstream;
 use almondhead_lib::runs::listed_upstream::ListingChange;
@@ -49,6 +50,7 @@
                 upstream: Some(upstream("up-3", None)),
             },
         ],
+        age: Some(Duration::from_millis(7)),
     };
     assert_arrives_as_sent(RunMessage::Listing(update));
 }
@@ -77,6 +79,7 @@
                 change("up-2", 43, odd),
                 change("up-3", 47, Some(upstream("up-3", None))),
             ],
+            age: None,
         };
         let received = arrival_of(RunMessage::Listing(update(odd)));
         assert_eq!(received, Some(RunMessage::Listing(update(None))));
--- a/lib/tests/listing_relay.rs
+++ b/lib/tests/listing_relay.rs
@@ -205,6 +205,7 @@
         all_ids: None,
         version,
         changes,
+        as_of: Some(Timestamp::ZERO),
     })
 }
 
--- a/lib/tests/odd_reports.rs
+++ b/lib/tests/odd_reports.rs
@@ -176,6 +176,7 @@
             all_ids: None,
             version: 1,
             changes: vec![listed("odd", "odd", 1), listed("sound", "sound", 2)],
+            as_of: Some(Timestamp::ZERO),
         }));
         site
     }
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -135,6 +135,8 @@
     pub(super) cut_pairs: IndexSet<(usize, usize)>,
     /// The messages held back, by (sender, receiver); a pair without an entry is not held back.
     pub(super) held_messages: IndexMap<(usize, usize), Vec<HeldMessage>>,
+    /// The delays of messages beyond [`PEER_DELAY`], by (sender, receiver).
+    pub(super) message_delays: IndexMap<(usize, usize), Duration>,
     /// The broken paths, by (node, upstream).
     pub(super) upstream_paths: IndexMap<(usize, usize), PathLoss>,
     pub(super) is_store_down: bool,
@@ -199,6 +201,7 @@
             delivered_listings: Vec::new(),
             cut_pairs: IndexSet::new(),
             held_messages: IndexMap::new(),
+            message_delays: IndexMap::new(),
             upstream_paths: IndexMap::new(),
             is_store_down: false,
             order_fault: OrderFault::default(),
--- a/lib/testsupport/src/run_site/site_actions.rs
+++ b/lib/testsupport/src/run_site/site_actions.rs
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Delays the messages from one instance to another that are sent from now on, as a link with a
+    /// long queue does.
+    pub fn delay_messages(&mut self, from: usize, to: usize, delay: Duration) {
+        self.message_delays.insert((from, to), delay);
+    }
+
     /// Breaks the path between an instance and an upstream, or restores it with `None`.
     pub fn set_upstream_path(&mut self, node: usize, upstream: usize, loss: Option<PathLoss>) {
         match loss {
@@ -367,6 +373,7 @@
                 all_ids: None,
                 version,
                 changes: vec![removed],
+                as_of: Some(self.nodes[node].clock(self.now)),
             };
             self.deliver(node, RunEvent::ListingRead(read));
         }
--- a/lib/testsupport/src/run_site/site_messages.rs
+++ b/lib/testsupport/src/run_site/site_messages.rs
@@ -66,9 +66,10 @@
             let delay = self.random_delay();
             self.schedule_event(delay, node, incarnation, event.clone());
         }
+        let queued = self.message_delays.get(&(from, node)).copied();
         let delay = match self.happens(self.message_fault.late_percent) {
             true => self.random_delay(),
-            false => PEER_DELAY,
+            false => PEER_DELAY + queued.unwrap_or_default(),
         };
         self.schedule_event(delay, node, incarnation, event);
     }
--- a/lib/testsupport/src/run_site/site_store.rs
+++ b/lib/testsupport/src/run_site/site_store.rs
@@ -72,6 +72,7 @@
             all_ids: None,
             version: self.store_version,
             changes: changes.collect(),
+            as_of: Some(self.nodes[node].clock(self.now)),
         };
         self.deliver(node, RunEvent::ListingRead(read));
     }
