--- a/lib/tests/listing_relay.rs
+++ b/lib/tests/listing_relay.rs
@@ -95,6 +95,27 @@
     assert_eq!(site.start_count(0), before);
 }
 
+/// Guards against an owner that goes on starting tasks on a draining upstream because the updates of
+/// its readers, whose links are more and more behind, still arrive one after the other.
+#[test]
+fn draining_is_known_in_time_with_late_updates() {
+    let mut site = started();
+    let readers = readers(&mut site);
+    for step in 1..=10 {
+        for reader in &readers {
+            for node in (0..site.node_count()).filter(|node| node != reader) {
+                site.delay_messages(*reader, node, Duration::from_millis(300 * step));
+            }
+        }
+        site.run_ms(550);
+    }
+    site.drain_upstream(0);
+    site.run_ms(2_000);
+    let before = site.start_count(0);
+    fill(&mut site, 1);
+    assert_eq!(site.start_count(0), before);
+}
+
 #[test]
 fn instances_that_hear_from_no_reader_read() {
     let mut site = started();
