--- a/lib/src/runs/listing_relay.rs
+++ b/lib/src/runs/listing_relay.rs
@@ -140,7 +140,8 @@
         version: u64,
         as_of: Option<Timestamp>,
     ) -> Option<u64> {
-        self.has_gap = false;
+        // Changes of the store that wait to be read may include the missed ones.
+        self.has_gap &= as_of.is_none();
         self.record_as_of(as_of, FactOrigin::Store);
         let before = self.known.version;
         self.set_version(now, before.map_or(version, |known| known.max(version)));
