runs: date what readers pass on by their read, not by its arrival

Cause: an instance that does not read the upstreams' entries itself trusted an update of a reader because it arrived and was newer than what was known 600 ms before. Updates that become late step by step (a link or a processor whose queue grows) pass that check for ever, each one newer than the last, all of them seconds old. A fact was taken as current by the time of its arrival.

Now an update says how old its read is, and the receiver adds the time in flight by its own clock, which the sender's messages echo. Only what is known as of less than 1.2 s ago keeps an instance from reading. 1.2 s and 150 ms until the next check are below the shortest bound of 2 s. The comparison of versions is gone.

--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -96,9 +96,7 @@
             RunMessage::WithdrawDelegated { number } => self.handle_withdrawal(peer, home, number),
             RunMessage::Crashes(reports) => self.record_crashes(&reports),
             RunMessage::CrashRequest => self.send_crashes(peer),
-            RunMessage::Listing(update) => {
-                self.handle_listing_update(&sender.instance, echo, update);
-            }
+            RunMessage::Listing(update) => self.handle_listing_update(peer, echo, update),
             RunMessage::CancelJob { job } => {
                 self.home.cancel(now, job);
             }
@@ -146,10 +144,7 @@
     fn record_digest(&mut self, peer: PeerKey, digest: RunDigest) {
         let own_version = self.intended.as_ref().map_or(0, |state| state.version);
         if digest.intended_version > own_version {
-            let request = RunMessage::IntendedRequest {
-                have_version: own_version,
-            };
-            self.send(peer, request);
+            self.request_intended(peer);
         }
         self.request_newer_evacuation(peer, digest.evacuation_version);
         self.peers.peers[peer].digest = digest;
@@ -157,6 +152,13 @@
         self.home.mark_dirty();
     }
 
+    /// Requests the intended state of a peer if it has a newer one. The request also shows the peer this
+    /// instance's clock, by which the peer dates its messages.
+    pub(crate) fn request_intended(&mut self, peer: PeerKey) {
+        let have_version = self.intended.as_ref().map_or(0, |state| state.version);
+        self.send(peer, RunMessage::IntendedRequest { have_version });
+    }
+
     fn send_intended(&mut self, peer: PeerKey, have_version: u64) {
         let Some(state) = &self.intended else {
             return;
@@ -271,7 +273,7 @@
             message: Box::new(TimedRunMessage {
                 receiver: peer.incarnation,
                 sent_at,
-                echo: peer.clock_estimate(self.now),
+                echo: peer.echo(self.now),
                 message,
             }),
         });
--- a/lib/src/runs/listing_relay.rs
+++ b/lib/src/runs/listing_relay.rs
@@ -5,7 +5,6 @@
 //! instance as much as there are upstreams. Readers are chosen by rendezvous hashing over the
 //! roster; none is needed: an instance that hears from no reader reads the entries itself.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,14 +25,11 @@
 /// The number of instances in a data centre from which some do not read.
 const MIN_RELAYED_INSTANCES: usize = 5;
 
-/// How long without news from a reader before an instance reads the entries itself.
+/// The age of what readers have passed on from which an instance reads the entries itself.
 ///
 /// Readers pass on each read, twice a second. A draining upstream must get no new work 2 s after it
 /// has written so, and the next read must come before that.
-const READER_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// How much older than what is known already a reader's update may be: its reads are 500 ms apart.
-const MAX_UPDATE_LAG: Duration = Duration::from_millis(600);
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_200);
 
 /// Sets the hashes of readers apart from other uses of the names.
 const READER_SEED: u64 = 0x1157_1297;
@@ -62,10 +58,8 @@
     is_reader: bool,
     /// Which changes are known.
     known: ListingKnowledge,
-    /// The versions known within [`MAX_UPDATE_LAG`], and the one before, with the times of learning.
-    recent_versions: VecDeque<(Timestamp, u64)>,
-    /// When the last update that joined what was known arrived from a reader.
-    updated_at: Option<Timestamp>,
+    /// The time before which all changes are known from readers; none before their first update.
+    relayed_as_of: Option<Timestamp>,
     /// Whether an update was missed.
     has_gap: bool,
 }
@@ -105,8 +99,8 @@
     /// Whether this instance has to read the entries itself.
     pub(crate) fn must_read(&self, now: Timestamp) -> bool {
         let is_updated = self
-            .updated_at
-            .is_some_and(|at| now.since(at) < READER_TIMEOUT);
+            .relayed_as_of
+            .is_some_and(|at| now.since(at) < MAX_RELAYED_AGE);
         self.is_reader || self.has_gap || self.known.version.is_none() || !is_updated
     }
 
@@ -134,67 +128,35 @@
 
     /// Records a read of this instance's own; returns the version after which it brought changes, if
     /// others can join it to what they know.
-    pub(crate) fn record_read(
-        &mut self,
-        now: Timestamp,
-        version: u64,
-        as_of: Option<Timestamp>,
-    ) -> Option<u64> {
+    pub(crate) fn record_read(&mut self, version: u64, as_of: Option<Timestamp>) -> Option<u64> {
         // Changes of the store that wait to be read may include the missed ones.
         self.has_gap &= as_of.is_none();
         self.record_as_of(as_of, FactOrigin::Store);
         let before = self.known.version;
-        self.set_version(now, before.map_or(version, |known| known.max(version)));
+        self.known.version = before.max(Some(version));
         before
     }
 
-    fn set_version(&mut self, now: Timestamp, version: u64) {
-        self.known.version = Some(version);
-        self.recent_versions.push_back((now, version));
-        // Keeps one that is older than the lag.
-        while self
-            .recent_versions
-            .get(1)
-            .is_some_and(|(at, _)| now.since(*at) >= MAX_UPDATE_LAG)
-        {
-            self.recent_versions.pop_front();
-        }
-    }
-
-    /// The version that was known [`MAX_UPDATE_LAG`] ago; `known` now.
-    fn version_known_at(&self, now: Timestamp, known: u64) -> u64 {
-        let old = self.recent_versions.iter().rev();
-        let mut old = old.filter(|(at, _)| now.since(*at) >= MAX_UPDATE_LAG);
-        match (old.next(), self.recent_versions.front()) {
-            (Some((_, version)), _) | (None, Some((_, version))) => *version,
-            (None, None) => known,
-        }
-    }
-
     /// Records an update; returns false when changes before it are missing.
     ///
-    /// Only an update that is at least as new as what was known [`MAX_UPDATE_LAG`] ago counts as news:
-    /// one that was delayed is older than what this instance has learned meanwhile.
-    ///
-    /// `sent_at` is when it was sent, on this instance's clock, if that is known.
+    /// `sent_at` is when it was sent, on this instance's clock, if that is known. An update says how old
+    /// it is, since one that was delayed on its way, or in a slow sender, does not show it otherwise.
     pub(crate) fn record_update(
         &mut self,
-        now: Timestamp,
         sender: &Arc<str>,
         sent_at: Option<Timestamp>,
         update: &ListingUpdate,
     ) -> bool {
-        let Some(known) = self.known.version.filter(|known| *known >= update.after) else {
+        if self.known.version.is_none_or(|known| known < update.after) {
             self.has_gap = true;
             return false;
-        };
+        }
+        self.known.version = self.known.version.max(Some(update.version));
         let as_of = sent_at.zip(update.age);
         let as_of = as_of.map(|(sent_at, age)| sent_at.before(age));
         self.record_as_of(as_of, FactOrigin::Instance(sender.clone()));
-        let is_news = update.version >= self.version_known_at(now, known);
-        self.set_version(now, known.max(update.version));
-        if is_news && self.readers.contains(&**sender) {
-            self.updated_at = Some(now);
+        if self.readers.contains(&**sender) {
+            self.relayed_as_of = self.relayed_as_of.max(as_of);
         }
         true
     }
--- a/lib/src/runs/listing_updates.rs
+++ b/lib/src/runs/listing_updates.rs
@@ -1,11 +1,10 @@
 //! What the dispatcher does with changes of the upstreams' entries, read here or by another instance.
 
-use std::sync::Arc;
-
 use super::listed_upstream::ListingRead;
 use super::listing_relay::ListingUpdate;
 use super::run_action::RunAction;
 use super::run_dispatcher::RunDispatcher;
+use super::run_id::PeerKey;
 use super::run_message::RunMessage;
 use super::upstream_listing::AppliedChanges;
 use crate::time::Timestamp;
@@ -17,7 +16,7 @@
         let (version, as_of) = (read.version, read.as_of);
         let applied = self.listing.apply_read(self.now, read);
         let relay = &mut self.listing_relay;
-        let after = relay.record_read(self.now, version, as_of);
+        let after = relay.record_read(version, as_of);
         self.follow_listing(&applied);
         let Some(after) = after else {
             return;
@@ -40,12 +39,18 @@
     /// `sent_at` is when it was sent, on this instance's clock, if that is known.
     pub(crate) fn handle_listing_update(
         &mut self,
-        sender: &Arc<str>,
+        sender: PeerKey,
         sent_at: Option<Timestamp>,
         update: ListingUpdate,
     ) {
+        if sent_at.is_none() {
+            self.request_intended(sender);
+        }
+        let Some(sender) = self.peers.peers.get(sender).map(|peer| peer.name.clone()) else {
+            return;
+        };
         let relay = &mut self.listing_relay;
-        if !relay.record_update(self.now, sender, sent_at, &update) {
+        if !relay.record_update(&sender, sent_at, &update) {
             tracing::info!(
                 instance = %sender,
                 after = update.after,
--- a/lib/src/runs/peer_table.rs
+++ b/lib/src/runs/peer_table.rs
@@ -28,6 +28,9 @@
 /// The maximum age of a digest because of which a job is refused: two heartbeats.
 const MAX_DIGEST_AGE: Duration = Duration::from_millis(300);
 
+/// The maximum age of a clock reading that messages are dated by: clocks of machines drift apart.
+const MAX_CLOCK_AGE: Duration = Duration::from_secs(10);
+
 /// How long an instance is remembered after it has vanished from the roster.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -112,6 +115,15 @@
         self.clock.map(|(theirs, at)| theirs + now.since(at))
     }
 
+    /// The estimate of its clock's present reading for a message to it; `None` when it has sent none
+    /// lately.
+    pub(crate) fn echo(&self, now: Timestamp) -> Option<Timestamp> {
+        let is_recent = self
+            .clock
+            .is_some_and(|(_, at)| now.since(at) < MAX_CLOCK_AGE);
+        self.clock_estimate(now).filter(|_| is_recent)
+    }
+
     /// Its load of a service; `None` when it is leaving or unreachable or does not serve it.
     pub(crate) fn load(&self, now: Timestamp, service: &str) -> Option<&RunLoad> {
         if self.is_leaving || self.digest.leaving || !self.is_reachable(now) {
--- a/lib/tests/listing_relay.rs
+++ b/lib/tests/listing_relay.rs
@@ -72,6 +72,17 @@
     assert!(site.violations().is_empty(), "{:?}", site.violations());
 }
 
+/// Guards against reads by every instance that does not exchange heartbeats with its readers, and so cannot
+/// tell how old their updates are.
+#[test]
+fn two_of_many_instances_read_for_all() {
+    let mut site = RunSite::start(&SitePlan::new(2, 24, UPSTREAMS as u32));
+    site.run_ms(15_000);
+    let reads = reads_within(&mut site, 30_000);
+    let readers = reads.iter().filter(|reads| **reads > 0);
+    assert_eq!(readers.count(), 4, "{reads:?}");
+}
+
 #[test]
 fn few_instances_read_for_themselves() {
     let mut site = RunSite::start(&SitePlan::new(2, 4, 4));
