--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use super::crash_report::CrashReport;
+use super::fact_origin::FactOrigin;
 use super::owner_choice::OwnerRef;
 use super::peer_table::Freshness;
 use super::peer_table::PEER_TIMEOUT;
@@ -176,8 +177,9 @@
     fn handle_intended_body(&mut self, peer: PeerKey, body: Bytes) {
         match self.decoder.decode(&body) {
             Some(state) => {
-                let origin = self.origin(peer);
-                self.install_intended_state(Arc::new(state), body, origin);
+                let sender = self.peers.peers.get(peer);
+                let origin = sender.map(|peer| FactOrigin::Instance(peer.name.clone()));
+                self.install_intended_state(Arc::new(state), body, origin.unwrap_or_default());
             }
             None => tracing::warn!(
                 bytes = body.len(),
--- a/lib/src/runs/listing_knowledge.rs
+++ b/lib/src/runs/listing_knowledge.rs
@@ -1,4 +1,4 @@
-//! How much of the upstreams' entries an instance knows, for logs.
+//! How much of the upstreams' entries an instance knows.
 
 use super::fact_origin::FactOrigin;
 use crate::time::Timestamp;
