runs: count heartbeats alone as contact, not updates of the listing

Since updates are dated, instances without heartbeats between them show their readers their clocks about every 10 s. Each such request, and each dated update, made the other reachable until the timeout of four heartbeats, so that it was reported unreachable again and again. Neither is sent regularly enough to be a sign of life.

Also, without a change of behaviour: the name of the sender in place of a look-up with a default, operators_age_ms and as_of for what is an age and its date, and comments that say what an update's age is.

readers_stay_reachable failed before.

--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -870,8 +870,8 @@
     /// Those that decide something.
     #[prost(message, repeated, tag = "3")]
     pub changes: ::prost::alloc::vec::Vec<ListingChange>,
-    /// How long before the update was sent every change of its version or earlier
-    /// was known.
+    /// The time from the request of the read to the sending of the update; absent
+    /// if more changes waited to be read.
     #[prost(uint64, optional, tag = "4")]
     pub age_us: ::core::option::Option<u64>,
 }
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -48,9 +48,10 @@
             timed.sent_at,
             timed.echo.filter(|_| is_for_this_incarnation),
         );
-        let recorded = self
-            .peers
-            .record_message(self.now, sender, sent_at, echo, &mut replaced);
+        let regular = !timed.message.is_sporadic();
+        let recorded =
+            self.peers
+                .record_message(self.now, sender, sent_at, echo, regular, &mut replaced);
         if let Some((peer, incarnation)) = replaced {
             self.on_incarnation_ended(peer, incarnation);
         }
@@ -58,10 +59,9 @@
             return;
         };
         if !is_for_this_incarnation {
-            let (instance, receiver) = (&sender.instance, timed.receiver);
-            tracing::info!(%instance, %receiver, content = %timed.message, "message to an earlier incarnation ignored");
-            return;
+            return log_wrong_receiver(sender, &timed);
         }
+        let name = &sender.instance;
         let is_fresh = freshness == Freshness::Fresh;
         let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
         match timed.message {
@@ -97,14 +97,14 @@
             RunMessage::WithdrawDelegated { number } => self.handle_withdrawal(peer, home, number),
             RunMessage::Crashes(reports) => self.record_crashes(&reports),
             RunMessage::CrashRequest => self.send_crashes(peer),
-            RunMessage::Listing(update) => self.handle_listing_update(peer, echo, update),
+            RunMessage::Listing(update) => self.handle_listing_update(peer, name, echo, update),
             RunMessage::CancelJob { job } => {
                 self.home.cancel(now, job);
             }
             RunMessage::IntendedRequest { have_version } => {
                 self.send_intended(peer, have_version);
             }
-            RunMessage::IntendedBody { body, .. } => self.handle_intended_body(peer, body),
+            RunMessage::IntendedBody { body, .. } => self.handle_intended_body(name, body),
             RunMessage::EvacuationRequest { have_version } => {
                 self.send_evacuation(peer, have_version);
             }
@@ -174,12 +174,11 @@
         self.send(peer, message);
     }
 
-    fn handle_intended_body(&mut self, peer: PeerKey, body: Bytes) {
+    fn handle_intended_body(&mut self, sender: &Arc<str>, body: Bytes) {
         match self.decoder.decode(&body) {
             Some(state) => {
-                let sender = self.peers.peers.get(peer);
-                let origin = sender.map(|peer| FactOrigin::Instance(peer.name.clone()));
-                self.install_intended_state(Arc::new(state), body, origin.unwrap_or_default());
+                let origin = FactOrigin::Instance(sender.clone());
+                self.install_intended_state(Arc::new(state), body, origin);
             }
             None => tracing::warn!(
                 bytes = body.len(),
@@ -345,3 +344,8 @@
         self.send_reports();
     }
 }
+
+fn log_wrong_receiver(sender: &PeerIdentity, timed: &TimedRunMessage) {
+    let (instance, receiver) = (&sender.instance, timed.receiver);
+    tracing::info!(%instance, %receiver, content = %timed.message, "message to an earlier incarnation ignored");
+}
--- a/lib/src/runs/event.rs
+++ b/lib/src/runs/event.rs
@@ -49,7 +49,7 @@
     /// written when the read was requested.
     OperatorsRead {
         /// When the read was requested.
-        requested_at: Timestamp,
+        as_of: Timestamp,
     },
     /// The evacuated data centres were read from the platform's store, all of them.
     EvacuationRead(EvacuatedDataCentres),
--- a/lib/src/runs/listing_relay.rs
+++ b/lib/src/runs/listing_relay.rs
@@ -43,8 +43,8 @@
     pub version: u64,
     /// The changes that decide something, by version.
     pub changes: Vec<ListingChange>,
-    /// How long before the update was sent every change of its version or earlier was known; none if the
-    /// sender does not know.
+    /// The time from the request of the read to the sending of the update: with it all earlier changes are
+    /// known. None if more changes waited to be read.
     pub age: Option<Duration>,
 }
 
@@ -139,8 +139,8 @@
 
     /// Records an update; returns false when changes before it are missing.
     ///
-    /// `sent_at` is when it was sent, on this instance's clock, if that is known. An update says how old
-    /// it is, since one that was delayed on its way, or in a slow sender, does not show it otherwise.
+    /// `sent_at` is when it was sent, on this instance's clock, if that is known. The order of arrival does
+    /// not show how old an update is: all of a sender's may be late by the same time.
     pub(crate) fn record_update(
         &mut self,
         sender: &Arc<str>,
--- a/lib/src/runs/listing_updates.rs
+++ b/lib/src/runs/listing_updates.rs
@@ -1,5 +1,7 @@
 //! What the dispatcher does with changes of the upstreams' entries, read here or by another instance.
 
+use std::sync::Arc;
+
 use super::listed_upstream::ListingRead;
 use super::listing_relay::ListingUpdate;
 use super::run_action::RunAction;
@@ -39,18 +41,16 @@
     /// `sent_at` is when it was sent, on this instance's clock, if that is known.
     pub(crate) fn handle_listing_update(
         &mut self,
-        sender: PeerKey,
+        peer: PeerKey,
+        sender: &Arc<str>,
         sent_at: Option<Timestamp>,
         update: ListingUpdate,
     ) {
         if sent_at.is_none() {
-            self.request_intended(sender);
+            self.request_intended(peer);
         }
-        let Some(sender) = self.peers.peers.get(sender).map(|peer| peer.name.clone()) else {
-            return;
-        };
         let relay = &mut self.listing_relay;
-        if !relay.record_update(&sender, sent_at, &update) {
+        if !relay.record_update(sender, sent_at, &update) {
             tracing::info!(
                 instance = %sender,
                 after = update.after,
@@ -65,7 +65,7 @@
 
     /// Takes over and releases upstreams as the changes of the listing require.
     fn follow_listing(&mut self, applied: &AppliedChanges) {
-        self.owner.listing = self.listing_relay.known().clone();
+        self.owner.known_listing = self.listing_relay.known().clone();
         self.forget_upstreams(&applied.gone);
         if !applied.deciding.is_empty() {
             self.assign_upstreams();
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -132,7 +132,7 @@
     /// The data centres on whose upstreams nothing new starts.
     pub(crate) evacuated: EvacuatedDataCentres,
     /// Which changes of the upstreams' entries are known, for logs.
-    pub(crate) listing: ListingKnowledge,
+    pub(crate) known_listing: ListingKnowledge,
     pub(crate) ranking: Box<dyn QueueRanking>,
     /// The ranking of tasks of the services in `by_priority`.
     pub(crate) cost_ranking: Box<dyn QueueRanking>,
@@ -169,7 +169,7 @@
             next_order_id: 1,
             relinquished: IndexMap::new(),
             evacuated: EvacuatedDataCentres::default(),
-            listing: ListingKnowledge::default(),
+            known_listing: ListingKnowledge::default(),
             ranking: Box::new(LeastSlack),
             cost_ranking: Box::new(CallerCost),
             by_priority: IndexSet::new(),
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -254,8 +254,8 @@
         tracing::info!(
             job = %run.task.job, run = %run, upstream = %upstream.listed.id, fence, waited_ms, is_alone, priority,
             expected_ms = whole_ms(expected), slowness_percent, free_millicores = upstream.free().cpu_millicores,
-            listing_version = self.listing.version, listing_origin = %self.listing.origin,
-            listing_age_ms = self.listing.as_of.map(|at| whole_ms(now.since(at))), "run ordered"
+            listing_version = self.known_listing.version, listing_origin = %self.known_listing.origin,
+            listing_age_ms = self.known_listing.as_of.map(|at| whole_ms(now.since(at))), "run ordered"
         );
         let order = RunOrder::Start {
             run,
--- a/lib/src/runs/peer_table.rs
+++ b/lib/src/runs/peer_table.rs
@@ -221,7 +221,9 @@
     /// Records a message; returns its sender and freshness, or `None` when the sender is unknown
     /// or its incarnation has ended.
     ///
-    /// `echo` is the sender's estimate of this instance's clock. `replaced` gets the sender's former
+    /// `echo` is the sender's estimate of this instance's clock. A message that is not `regular`, one that
+    /// also instances without heartbeats between them send, is no contact: the next one may take longer
+    /// than [`PEER_TIMEOUT`]. `replaced` gets the sender's former
     /// incarnation when this message is the first of a new one.
     pub(crate) fn record_message(
         &mut self,
@@ -229,6 +231,7 @@
         sender: &PeerIdentity,
         sent_at: Timestamp,
         echo: Option<Timestamp>,
+        regular: bool,
         replaced: &mut Option<(PeerKey, Incarnation)>,
     ) -> Option<(PeerKey, Freshness)> {
         let key = self.by_name(&sender.instance)?;
@@ -245,7 +248,7 @@
         if is_newer {
             peer.clock = Some((sent_at, now));
         }
-        if is_fresh {
+        if is_fresh && regular {
             peer.last_contact_at = Some(now);
         }
         let freshness = match is_fresh {
--- a/lib/src/runs/requesting.rs
+++ b/lib/src/runs/requesting.rs
@@ -44,7 +44,7 @@
                     version,
                     origin = %self.intended_origin,
                     in_force_ms = whole_ms(self.now.since(self.intended_since)),
-                    checked_ms = self.operators_as_of.map(|at| whole_ms(self.now.since(at))),
+                    operators_age_ms = self.operators_as_of.map(|at| whole_ms(self.now.since(at))),
                     ?answer,
                     "request answered at once"
                 );
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -284,8 +284,8 @@
             RunEvent::IntendedRead { state, body } => {
                 self.install_intended_state(state, body, FactOrigin::Store);
             }
-            RunEvent::OperatorsRead { requested_at } => {
-                self.operators_as_of = self.operators_as_of.max(Some(requested_at));
+            RunEvent::OperatorsRead { as_of } => {
+                self.operators_as_of = self.operators_as_of.max(Some(as_of));
             }
             RunEvent::EvacuationRead(set) => self.install_evacuation(set),
             RunEvent::ListingRead(read) => self.handle_listing_read(read),
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -134,6 +134,16 @@
     Evacuations(EvacuatedDataCentres),
 }
 
+impl RunMessage {
+    /// Whether instances that exchange no heartbeats send it to each other from time to time.
+    pub(crate) fn is_sporadic(&self) -> bool {
+        matches!(
+            self,
+            RunMessage::Listing(_) | RunMessage::IntendedRequest { .. }
+        )
+    }
+}
+
 /// Tasks of one job that its home places with an owner.
 #[value]
 pub struct RunBatch {
--- a/lib/tests/listing_relay.rs
+++ b/lib/tests/listing_relay.rs
@@ -83,6 +83,23 @@
     assert_eq!(readers.count(), 4, "{reads:?}");
 }
 
+/// Guards against a reader that counts as unreachable at times, where instances that exchange no heartbeats
+/// with it have not shown it their clocks lately.
+#[test]
+fn readers_stay_reachable() {
+    let mut site = RunSite::start(&SitePlan::new(2, 24, UPSTREAMS as u32));
+    site.run_ms(15_000);
+    let reachable = |site: &RunSite| -> Vec<usize> {
+        let nodes = 0..site.node_count();
+        nodes.map(|node| site.reachable_peers(node)).collect()
+    };
+    let at_first = reachable(&site);
+    for _ in 0..300 {
+        site.run_ms(100);
+        assert_eq!(reachable(&site), at_first);
+    }
+}
+
 #[test]
 fn few_instances_read_for_themselves() {
     let mut site = RunSite::start(&SitePlan::new(2, 4, 4));
--- a/lib/testsupport/src/run_site/site_messages.rs
+++ b/lib/testsupport/src/run_site/site_messages.rs
@@ -69,7 +69,7 @@
         let queued = self.message_delays.get(&(from, node)).copied();
         let delay = match self.happens(self.message_fault.late_percent) {
             true => self.random_delay(),
-            false => PEER_DELAY + queued.unwrap_or_default(),
+            false => queued.map_or(PEER_DELAY, |queued| PEER_DELAY + queued),
         };
         self.schedule_event(delay, node, incarnation, event);
     }
--- a/lib/testsupport/src/run_site/site_observations.rs
+++ b/lib/testsupport/src/run_site/site_observations.rs
@@ -95,6 +95,12 @@
         dispatcher.map_or(0, |dispatcher| dispatcher.status().listed_upstreams)
     }
 
+    /// How many other instances the process of a node can reach.
+    pub fn reachable_peers(&self, node: usize) -> usize {
+        let dispatcher = self.nodes[node].dispatcher.as_ref();
+        dispatcher.map_or(0, |dispatcher| dispatcher.status().reachable_peers)
+    }
+
     /// Returns the number of instances.
     pub fn node_count(&self) -> usize {
         self.nodes.len()
