runs: log for which home and batch a run is ordered, and how old it is known

The reported overlap is told apart by its homes: two orders of one number come from two homes, or from one that placed the task again. Until now no line of the owner named the home. The owner also records of which time the messages of each home tell, so that the line of a start says on how old a word it rests.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -57,6 +57,7 @@
 mod peer_table;
 mod placing;
 mod queue_suspension;
+mod requester_contacts;
 mod requesting;
 pub mod resources;
 pub mod roster;
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -63,6 +63,9 @@
         }
         let name = &sender.instance;
         let is_fresh = freshness == Freshness::Fresh;
+        if let Some(echo) = echo.filter(|_| is_fresh && regular) {
+            self.owner.requesters.record(sender.incarnation, echo);
+        }
         let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
         match timed.message {
             RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, batch),
--- a/lib/src/runs/dispatcher_peers.rs
+++ b/lib/src/runs/dispatcher_peers.rs
@@ -88,6 +88,7 @@
         self.on_peer_unreachable(peer, incarnation, self.now);
         self.home.forget_owner_incarnation(OwnerRef::Peer(peer));
         self.held_jobs.forget(incarnation);
+        self.owner.requesters.forget(incarnation);
     }
 
     fn on_peer_unreachable(
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -19,6 +19,7 @@
 use super::listing_knowledge::ListingKnowledge;
 use super::overload::caller_cost::CallerCost;
 use super::overload::recent_work::RecentWork;
+use super::requester_contacts::RequesterContacts;
 use super::resources::Resources;
 use super::run_action::RunAction;
 use super::run_digest::FreeUpstream;
@@ -117,6 +118,8 @@
     pub(crate) by_number: IndexMap<(Incarnation, u64), HeldBatchKey>,
     /// The highest number of an accepted batch, by home.
     pub(crate) highest_taken: IndexMap<Incarnation, u64>,
+    /// How recently each requester was heard of.
+    pub(crate) requesters: RequesterContacts,
     /// The tasks that wait for free capacity.
     pub(crate) queue: Vec<(HeldBatchKey, TaskIndex)>,
     /// Batches with runs that may go on under a newer owner, and when these must have ended.
@@ -162,6 +165,7 @@
             batches: SlotMap::with_key(),
             by_number: IndexMap::new(),
             highest_taken: IndexMap::new(),
+            requesters: RequesterContacts::default(),
             queue: Vec::new(),
             possibly_running: IndexMap::new(),
             orders: IndexMap::new(),
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -226,6 +226,8 @@
         let (queue, payload) = (batch.queue.clone(), batch.payload.clone());
         let is_alone = batch.tasks[task].placed.is_alone;
         let waited_ms = whole_ms(now.since(batch.accepted_at));
+        let (home, batch_number) = (batch.home, batch.number);
+        let home_age_ms = self.requesters.age(now, home).map(whole_ms);
         batch.tasks[task].state = HeldState::Running(upstream_key);
         batch.has_begun = true;
         let (service, priority, work) = (&batch.service, batch.priority, batch.core_ms(task));
@@ -253,6 +255,7 @@
         let slowness_percent = upstream.speed.slowness_percent();
         tracing::info!(
             job = %run.task.job, run = %run, upstream = %upstream.listed.id, fence, waited_ms, is_alone, priority,
+            %home, batch = batch_number, home_age_ms,
             expected_ms = whole_ms(expected), slowness_percent, free_millicores = upstream.free().cpu_millicores,
             listing_version = self.known_listing.version, listing_origin = %self.known_listing.origin,
             listing_age_ms = self.known_listing.as_of.map(|at| whole_ms(now.since(at))), "run ordered"
