--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -70,9 +70,7 @@
         match timed.message {
             RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, batch),
             RunMessage::Place(batch) => self.owner.refuse_stale(now, home, batch),
-            RunMessage::Adopt { upstream, batch } => {
-                self.owner.adopt(now, home, &upstream, batch);
-            }
+            RunMessage::Adopt { upstream, batch } => self.owner.adopt(now, home, &upstream, batch),
             RunMessage::Ends(ends) => {
                 self.record_digest(peer, ends.digest);
                 self.home.handle_ends(now, owner, ends.batch, ends.ends);
