runs: count a batch as lost by when its owner sent the heartbeat

Cause: a home counted a batch as lost on the way when a heartbeat without its number arrived more than 400 ms after the batch was sent. The heartbeat itself may be up to 300 ms old and may have been sent before the owner took the batch, which may be 300 ms old by then: the two add up to more than 400 ms. It is the class of a fact that is dated by its arrival and not by when it was true.

The home now remembers the reading of the owner's clock that the message with the batch named, where the message is built, so that it is the very one that the owner reads. Only a heartbeat that the owner sent more than 300 ms after that reading, by its own clock, proves the loss: the owner refuses what is older than that by the same reading and the same clock, so that a batch that is not held then will never be started. There is no sum of transit times any more. Delegated jobs follow the same rule already. An orphaned run that its owner names as held again is dated by the heartbeat that named it. A batch whose message named no reading is refused whenever it arrives.

A lost adoption is still orphaned and not retried, since its owner may adopt the run from an older message.

--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -136,7 +136,7 @@
         self.owner
             .drop_closed_batches(self.now, home, &report.open, report.highest_sent);
         self.home
-            .reconcile_batches(self.now, owner, &report.held, report.highest_taken);
+            .reconcile_batches(self.now, owner, sent_at, &report.held, report.highest_taken);
         self.reconcile_delegated(peer, home, sent_at, &report.delegation);
         self.reconcile_held(peer, home, &report.delegation);
     }
@@ -266,16 +266,21 @@
     }
 
     /// Sends a message that was first to be sent at `sent_at`.
-    fn send_as_of(&mut self, sent_at: Timestamp, peer: PeerKey, message: RunMessage) {
-        let Some(peer) = self.peers.peers.get(peer) else {
+    fn send_as_of(&mut self, sent_at: Timestamp, key: PeerKey, message: RunMessage) {
+        let Some(peer) = self.peers.peers.get(key) else {
             return;
         };
+        let echo = peer.echo(self.now);
+        if let RunMessage::Place(batch) | RunMessage::Adopt { batch, .. } = &message {
+            let owner = OwnerRef::Peer(key);
+            self.home.record_batch_echo(owner, batch.number, echo);
+        }
         self.actions.push(RunAction::SendPeer {
             instance: peer.name.clone(),
             message: Box::new(TimedRunMessage {
                 receiver: peer.incarnation,
                 sent_at,
-                echo: peer.echo(self.now),
+                echo,
                 message,
             }),
         });
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -69,7 +69,8 @@
 #[derive(Debug)]
 pub(crate) struct OpenBatch {
     pub(crate) job: HomeJobKey,
-    pub(crate) sent_at: Timestamp,
+    /// The time of the owner's clock that the message named; none if it named none, and at an own owner.
+    pub(crate) echo: Option<Timestamp>,
     /// Whether the owner adopts runs that another owner started.
     pub(crate) is_adoption: bool,
 }
@@ -304,7 +305,7 @@
             (owner, number),
             OpenBatch {
                 job: key,
-                sent_at: now,
+                echo: None,
                 is_adoption: false,
             },
         );
@@ -319,6 +320,18 @@
         job.to_batch(now, number, tasks)
     }
 
+    /// Records the time of the owner's clock that the message with a batch names.
+    pub(crate) fn record_batch_echo(
+        &mut self,
+        owner: OwnerRef,
+        number: u64,
+        echo: Option<Timestamp>,
+    ) {
+        if let Some(batch) = self.batches.get_mut(&(owner, number)) {
+            batch.echo = echo;
+        }
+    }
+
     /// Handles all timers that are due.
     pub(crate) fn run_timers(&mut self, now: Timestamp) {
         while let Some(timer) = self.timers.pop_due(now) {
--- a/lib/src/runs/home_orphans.rs
+++ b/lib/src/runs/home_orphans.rs
@@ -1,7 +1,6 @@
 //! How a home follows runs whose owner is unreachable or has lost their upstream.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::found_run::FoundRun;
 use super::home::CLAIMABLE_TIME;
@@ -14,6 +13,7 @@
 use super::home_task::HomeState;
 use super::home_task::MAX_RUN_AFTER_CONTACT;
 use super::owner_choice::OwnerRef;
+use super::peer_table::MAX_MESSAGE_AGE;
 use super::run_answer::GivenUp;
 use super::run_id::HomeJobKey;
 use super::run_id::RunId;
@@ -22,9 +22,6 @@
 use super::whole_ms::whole_ms;
 use crate::time::Timestamp;
 
-/// How long a batch may be in flight before it counts as lost; owners refuse a batch this old.
-const MAX_BATCH_TRANSIT: Duration = Duration::from_millis(400);
-
 impl Home {
     /// Marks a run as orphaned.
     ///
@@ -240,21 +237,26 @@
         });
     }
 
-    /// Compares the open batches at an owner with those that it reports as held.
+    /// Compares the open batches at an owner with those that it reports as held in a heartbeat, sent at
+    /// `sent_at` on its clock.
     ///
-    /// A batch that is not held, although the owner has accepted it or it must be lost, has ended
-    /// without a report: its tasks are retried, or orphaned where the batch was an adoption.
+    /// A batch that is not held, although the owner has accepted it or will start nothing of it, has ended
+    /// without a report: its tasks are retried, or orphaned where the batch was an adoption. The
+    /// owner starts nothing of a batch more than [`MAX_MESSAGE_AGE`] after the time that its message names.
     pub(crate) fn reconcile_batches(
         &mut self,
         now: Timestamp,
         owner: OwnerRef,
+        sent_at: Timestamp,
         held: &[u64],
         highest_taken: u64,
     ) {
-        self.resolve_orphans(now, owner, held, highest_taken);
+        self.resolve_orphans(now, owner, sent_at, held, highest_taken);
         let missing = self.batches.iter().filter(|((at, number), batch)| {
             let was_taken = *number <= highest_taken;
-            let was_lost = now.since(batch.sent_at) >= MAX_BATCH_TRANSIT;
+            let was_lost = batch
+                .echo
+                .is_none_or(|echo| sent_at.since(echo) > MAX_MESSAGE_AGE);
             *at == owner && !held.contains(number) && (was_taken || was_lost)
         });
         let missing: Vec<(u64, HomeJobKey, bool)> = missing
@@ -294,6 +296,7 @@
         &mut self,
         now: Timestamp,
         owner: OwnerRef,
+        sent_at: Timestamp,
         held: &[u64],
         highest_taken: u64,
     ) {
@@ -323,7 +326,8 @@
                     job.tasks[task].state = HomeState::Placed { owner, batch };
                     let open = OpenBatch {
                         job: key,
-                        sent_at: now,
+                        // Heartbeats sent before this one may not name the batch yet.
+                        echo: Some(sent_at),
                         is_adoption: false,
                     };
                     self.batches.insert((owner, batch), open);
