testsupport: let instances of the simulated site read their inputs late

An instance of the site read all that arrived at once, or, after a pause, within 2 ms. A process on a small share of a core goes on with its timers, which the driver handles first, while requests, disconnections, messages, answers to its orders and reads of the store wait. set_input_lag hands these over in the order of arrival after a lag, which may change while they wait; what has not been read when the instance is frozen waits for the lag again after the pause.

A request is ignored if its caller had left when it is read, as in the real process, whose handler looks at the connection then; a caller that leaves later is known of only a lag after it left. The rule replaces the one for requests that arrived and ended during a pause.

--- a/lib/testsupport/src/run_site.rs
+++ b/lib/testsupport/src/run_site.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod site;
 mod site_actions;
+mod site_inputs;
 mod site_messages;
 mod site_observations;
 mod site_orders;
--- a/lib/testsupport/src/run_site/node.rs
+++ b/lib/testsupport/src/run_site/node.rs
@@ -1,8 +1,11 @@
 //! A node of the simulated site: an instance and the dispatcher of its current incarnation.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondhead_lib::id::Incarnation;
+use almondhead_lib::id::RequestId;
 use almondhead_lib::runs::event::RunEvent;
 use almondhead_lib::runs::intended_state::IntendedState;
 use almondhead_lib::runs::intended_state::RequestLimits;
@@ -14,6 +17,7 @@
 use almondhead_lib::runs::run_settings::RunLimits;
 use almondhead_lib::runs::run_settings::RunSettings;
 use almondhead_lib::time::Timestamp;
+use indexmap::IndexSet;
 
 use super::job::run_queue;
 
@@ -45,6 +49,12 @@
     }
 }
 
+/// An input that has reached a process and waits to be read.
+pub(super) struct WaitingInput {
+    pub(super) arrived_at: Timestamp,
+    pub(super) event: RunEvent,
+}
+
 /// A simulated instance.
 pub(super) struct SimNode {
     pub(super) name: Arc<str>,
@@ -63,6 +73,14 @@
     pub(super) is_leaving: bool,
     /// The events that arrived while it was frozen.
     pub(super) frozen_events: Vec<RunEvent>,
+    /// How long after its arrival an input is read.
+    pub(super) input_lag: Duration,
+    /// The inputs that have arrived and wait for the lag, in the order of arrival.
+    pub(super) waiting_inputs: VecDeque<WaitingInput>,
+    /// The site's time of the next planned read of inputs.
+    pub(super) reads_at: Option<Timestamp>,
+    /// The requests whose callers have disconnected.
+    pub(super) disconnected: IndexSet<RequestId>,
     /// The version of the evacuated data centres that its process has read.
     pub(super) evacuation_version: u64,
     /// Whether its process reads the upstreams' entries.
@@ -93,6 +111,10 @@
             is_cut_from_store: false,
             is_leaving: false,
             frozen_events: Vec::new(),
+            input_lag: Duration::ZERO,
+            waiting_inputs: VecDeque::new(),
+            reads_at: None,
+            disconnected: IndexSet::new(),
             evacuation_version: 0,
             reads_listing: true,
             unread_removals: Vec::new(),
@@ -117,6 +139,9 @@
         self.started_at = now;
         self.is_leaving = false;
         self.frozen_events.clear();
+        self.waiting_inputs.clear();
+        self.reads_at = None;
+        self.disconnected.clear();
         self.evacuation_version = 0;
         self.reads_listing = true;
         self.unread_removals.clear();
@@ -135,4 +160,20 @@
     pub(super) fn clock(&self, now: Timestamp) -> Timestamp {
         Timestamp::ZERO + now.since(self.started_at)
     }
+
+    /// Returns when the next input is due to be read.
+    pub(super) fn next_input_due(&self) -> Option<Timestamp> {
+        let next = self.waiting_inputs.front()?;
+        Some(next.arrived_at + self.input_lag)
+    }
+
+    /// Takes the next input if it is due.
+    pub(super) fn next_input(&mut self, now: Timestamp) -> Option<RunEvent> {
+        let due = self.next_input_due().filter(|_| !self.is_frozen)?;
+        let next = match due <= now {
+            true => self.waiting_inputs.pop_front()?,
+            false => return None,
+        };
+        Some(next.event)
+    }
 }
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -83,6 +83,8 @@
     },
     /// Wakes the dispatcher of a node at the time that it asked for.
     Wake(usize),
+    /// Lets a node read the inputs that have waited for its lag.
+    ReadInputs { node: usize, incarnation: u64 },
     /// Executes an order at an upstream.
     Order {
         node: usize,
@@ -326,7 +328,12 @@
                 if self.nodes[node].wakes_at.is_some_and(|at| at <= self.now) {
                     self.nodes[node].wakes_at = None;
                 }
-                self.deliver(node, RunEvent::Tick);
+                self.handle(node, RunEvent::Tick);
+            }
+            ScheduledEvent::ReadInputs { node, incarnation } => {
+                if self.nodes[node].incarnation == incarnation {
+                    self.read_inputs(node);
+                }
             }
             ScheduledEvent::Order {
                 node,
@@ -361,11 +368,9 @@
         }
     }
 
-    pub(super) fn deliver(&mut self, node: usize, event: RunEvent) {
+    /// Lets the dispatcher of a node handle an event, unless its process is frozen.
+    pub(super) fn handle(&mut self, node: usize, event: RunEvent) {
         if self.nodes[node].is_frozen {
-            if !matches!(event, RunEvent::Tick) {
-                self.nodes[node].frozen_events.push(event);
-            }
             return;
         }
         let now = self.nodes[node].clock(self.now);
--- a/lib/testsupport/src/run_site/site_actions.rs
+++ b/lib/testsupport/src/run_site/site_actions.rs
@@ -13,7 +13,6 @@
 use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
 use almondhead_lib::runs::run_order::OrderAnswer;
 use bytes::Bytes;
-use indexmap::IndexSet;
 
 use super::node::QueueNamesDecoder;
 use super::site::HeldMessage;
@@ -130,27 +129,27 @@
     /// Thaws a frozen instance, which then handles the events that were kept.
     ///
     /// It reads the messages of other instances and the answers to its orders first. It learns
-    /// [`DISCONNECT_READ_DELAY`] later that callers have left.
+    /// [`DISCONNECT_READ_DELAY`] later that callers have left. If its inputs lag, it reads all of this
+    /// after the lag.
     pub fn thaw(&mut self, node: usize) {
         self.nodes[node].is_frozen = false;
+        // What was not read before the pause waits for the whole lag again.
+        let now = self.now;
+        for input in &mut self.nodes[node].waiting_inputs {
+            input.arrived_at = now;
+        }
+        self.read_inputs(node);
         let events = std::mem::take(&mut self.nodes[node].frozen_events);
-        let dropped = events.iter().filter_map(|event| match event {
-            RunEvent::RequestDropped { request } => Some(*request),
-            _ => None,
-        });
-        let dropped: IndexSet<RequestId> = dropped.collect();
         let incarnation = self.nodes[node].incarnation;
         for event in events {
             match &event {
-                // The real process sees that a connection has ended before it delivers its request.
-                RunEvent::Requested { request, .. } if dropped.contains(request) => {}
                 RunEvent::RequestDropped { .. } => {
                     self.schedule_event(DISCONNECT_READ_DELAY, node, incarnation, event);
                 }
                 _ => self.deliver(node, event),
             }
         }
-        self.deliver(node, RunEvent::Tick);
+        self.handle(node, RunEvent::Tick);
     }
 
     /// Cuts the connection between two instances in both directions, or restores it.
