runs: start nothing while the inputs of an instance wait to be read

Two runs of one task, both of number 1, ran at a time: one for a caller that had left, one for the same caller, who had submitted the job again 1.3 s later. In the users' record the first was stopped within 48 ms, when its home had read that the caller had left.

Cause: an instance acted on what it had read, whatever still waited at its sockets and in its queue of commands. A pause was noticed by the time between two events, and ended after 50 ms of wall time, a few of processor time on a small share of a core; a process that was slow but not paused was never noticed, since its timers go before its commands.

The dispatcher now sends marks through its own inputs and starts, places, adopts and delegates only if the last mark that came back is at most 300 ms old. So each start rests on inputs of a known age, for every way by which a task comes to be started here: `process_outputs` is the one place where home and owner start. The pause guard goes. Heartbeats wait for the mark that is sent when they are due, for one interval at the most.

The scenario of odd_reports drives the dispatcher itself and hands marks back at once, as its inputs are always read.

All tests of paused_process pass.

--- a/entry/src/run_driver.rs
+++ b/entry/src/run_driver.rs
@@ -15,6 +15,7 @@
 use almondhead_lib::runs::run_message::TimedRunMessage;
 use almondhead_lib::runs::run_order::AddressedOrder;
 use almondhead_lib::runs::run_status::RunStatus;
+use almondhead_lib::time::Timestamp;
 use almondhead_platform::ListingSwitch;
 use almondhead_platform::OrderClient;
 use almondhead_platform::RosterSession;
@@ -26,6 +27,7 @@
 
 use crate::clock::Clock;
 use crate::executor;
+use crate::input_mark;
 use crate::peer::PeerTransport;
 use crate::run_handle::RunHandle;
 use crate::run_metrics::RunMetrics;
@@ -204,6 +206,7 @@
                 is_on,
                 known_version,
             } => self.effects.listing_switch.set(is_on, known_version),
+            RunAction::ReadInputs { as_of } => self.send_mark(as_of),
             RunAction::RegisterAgain => {
                 // Fails when a request is already queued, which has the same effect.
                 self.effects.register_again.try_send(()).ok();
@@ -211,6 +214,15 @@
         }
     }
 
+    /// Sends a mark behind all that has reached this process.
+    fn send_mark(&self, as_of: Timestamp) {
+        let handle = self.effects.handle.clone();
+        executor::spawn(async move {
+            input_mark::pass_inputs().await;
+            handle.send(RunEvent::InputsRead { as_of });
+        });
+    }
+
     fn send_order(&self, order: OrderId, addressed_order: AddressedOrder) {
         let orders = Arc::clone(&self.effects.orders);
         let handle = self.effects.handle.clone();
--- a/lib/src/runs/delegation/dispatching.rs
+++ b/lib/src/runs/delegation/dispatching.rs
@@ -39,9 +39,8 @@
         wait: Duration,
     ) -> bool {
         let is_too_short = wait <= ANSWER_MARGIN + DELEGATION_MARGIN;
-        // After a pause, callers may have left whose disconnections are not read yet.
-        let is_catching_up = self.pause_guard.is_catching_up(self.now);
-        if self.is_leaving || is_too_short || is_catching_up || self.sent_jobs.is_full() {
+        let is_late = !self.inputs.is_current(self.now);
+        if self.is_leaving || is_too_short || is_late || self.sent_jobs.is_full() {
             return false;
         }
         let shares = &self.sent_jobs.shares;
--- a/lib/src/runs/dispatcher_outputs.rs
+++ b/lib/src/runs/dispatcher_outputs.rs
@@ -13,7 +13,7 @@
 impl RunDispatcher {
     /// Carries out the outputs of home and owner until neither produces more.
     pub(crate) fn process_outputs(&mut self) {
-        let may_start = !self.pause_guard.is_catching_up(self.now) && !self.awaits_evacuation();
+        let may_start = self.inputs.is_current(self.now) && !self.awaits_evacuation();
         loop {
             if may_start {
                 self.place_waiting();
@@ -51,6 +51,8 @@
                 batch,
             } => match owner {
                 OwnerRef::Own => self.owner.adopt(now, own, &upstream, batch),
+                // Counts as lost on the way: the callers may have left. The owner stops the runs.
+                OwnerRef::Peer(_) if !self.inputs.is_current(now) => {}
                 OwnerRef::Peer(peer) => self.send(peer, RunMessage::Adopt { upstream, batch }),
             },
             HomeOutput::Cancel { owner, batches } => match owner {
--- a/lib/src/runs/dispatcher_peers.rs
+++ b/lib/src/runs/dispatcher_peers.rs
@@ -51,7 +51,16 @@
         self.end_unplaceable();
         self.home.end_infeasible(self.now);
         self.home.mark_dirty();
-        self.send_reports();
+        self.send_heartbeat();
+    }
+
+    /// Sends a heartbeat as soon as all that has arrived so far is read, at the next one's time at the
+    /// latest, so that it tells of a time that is as recent as can be.
+    fn send_heartbeat(&mut self) {
+        if std::mem::replace(&mut self.is_heartbeat_due, true) {
+            self.send_reports();
+        }
+        self.send_mark();
     }
 
     /// Gives up what depends on instances that have become unreachable.
--- a/lib/src/runs/event.rs
+++ b/lib/src/runs/event.rs
@@ -82,6 +82,13 @@
         /// The answer, or why there is none.
         answer: OrderAnswer,
     },
+    /// A mark came back: every request, disconnection and message that had reached this process before
+    /// [`RunAction::ReadInputs`](super::run_action::RunAction::ReadInputs) asked for it was handed over
+    /// as an earlier event.
+    InputsRead {
+        /// The time that the action names.
+        as_of: Timestamp,
+    },
     /// This process was asked to stop: it finishes what runs and takes over no upstreams.
     StopRequested {
         /// The time until the process exits.
--- a/lib/src/runs/run_action.rs
+++ b/lib/src/runs/run_action.rs
@@ -11,6 +11,7 @@
 use super::run_order::AddressedOrder;
 use crate::id::Incarnation;
 use crate::id::RequestId;
+use crate::time::Timestamp;
 
 /// An operation that [`RunDispatcher`](super::run_dispatcher::RunDispatcher) leaves to its caller,
 /// since it does no I/O.
@@ -54,6 +55,12 @@
         /// The version of the store up to which all changes are known; none if none are.
         known_version: Option<u64>,
     },
+    /// Send a mark behind all inputs that have reached this process, and return it as
+    /// [`RunEvent::InputsRead`](super::event::RunEvent::InputsRead).
+    ReadInputs {
+        /// The present time.
+        as_of: Timestamp,
+    },
     /// Register this instance again: it was removed from the roster while it was running.
     RegisterAgain,
 }
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -14,11 +14,11 @@
 use super::event::RunEvent;
 use super::fact_origin::FactOrigin;
 use super::home::Home;
+use super::input_horizon::InputHorizon;
 use super::intended_state::IntendedState;
 use super::listing_relay::ListingRelay;
 use super::overload::OverloadPolicy;
 use super::owner::Owner;
-use super::pause_guard::PauseGuard;
 use super::peer_table::PeerTable;
 use super::roster::Roster;
 use super::roster_watch::RosterWatch;
@@ -53,7 +53,6 @@
     Heartbeat,
     Report,
     Resend,
-    CaughtUp,
     /// The callers of the delegated job of this number are about to leave.
     DelegatedDeadline(u64),
 }
@@ -98,7 +97,10 @@
     pub(crate) reads_listing: bool,
     pub(crate) roster_watch: RosterWatch,
     pub(crate) timers: TimerService<DispatcherTimer>,
-    pub(crate) pause_guard: PauseGuard,
+    /// How far callers' requests and other instances' messages have been read.
+    pub(crate) inputs: InputHorizon,
+    /// Whether a heartbeat waits until the inputs have been read.
+    pub(crate) is_heartbeat_due: bool,
     pub(crate) unsent: Vec<UnsentMessage>,
     /// The instances that this process has asked for the crashes that they know of.
     pub(crate) crash_requests: IndexSet<PeerKey>,
@@ -141,7 +143,8 @@
             reads_listing: true,
             roster_watch: RosterWatch::default(),
             timers,
-            pause_guard: PauseGuard::default(),
+            inputs: InputHorizon::default(),
+            is_heartbeat_due: false,
             unsent: Vec::new(),
             crash_requests: IndexSet::new(),
             neighbours: IndexSet::new(),
@@ -158,9 +161,10 @@
     /// `now` must not be earlier than in the previous call.
     pub fn handle(&mut self, now: Timestamp, event: RunEvent, actions: &mut Vec<RunAction>) {
         self.now = now.max(self.now);
-        self.check_pause();
+        self.inputs.begin(self.now);
         self.run_timers();
         self.handle_event(event);
+        self.check_inputs();
         self.process_outputs();
         self.report_load_change();
         self.switch_listing_reads();
@@ -233,22 +237,39 @@
             || reachable.any(|peer| !peer.digest.services.is_empty())
     }
 
-    /// Starts to catch up if the process was paused until now.
-    fn check_pause(&mut self) {
-        let Some(pause) = self.pause_guard.record_event(self.now) else {
+    /// Asks for a mark if the last one is too long ago, and logs when the inputs become too old to start
+    /// anything, or recent enough again.
+    fn check_inputs(&mut self) {
+        if self.inputs.is_mark_due(self.now) {
+            self.send_mark();
+        }
+        if !self.inputs.record_lateness(self.now) {
             return;
-        };
-        let (paused_ms, catch_up_ms) = (
-            whole_ms(pause.gap),
-            whole_ms(pause.catches_up_at.since(self.now)),
-        );
-        tracing::warn!(
-            paused_ms,
-            catch_up_ms,
-            "process was paused: starting nothing until it has caught up"
-        );
-        self.timers
-            .subscribe(pause.catches_up_at, DispatcherTimer::CaughtUp);
+        }
+        let input_age_ms = whole_ms(self.inputs.age(self.now));
+        if self.inputs.is_current(self.now) {
+            tracing::info!(input_age_ms, "inputs read in time again");
+            self.home.mark_dirty();
+            self.owner.mark_dirty();
+        } else {
+            tracing::warn!(
+                input_age_ms,
+                "inputs read late: starting nothing until they are read"
+            );
+        }
+    }
+
+    pub(crate) fn send_mark(&mut self) {
+        if self.inputs.send_mark(self.now) {
+            self.actions.push(RunAction::ReadInputs { as_of: self.now });
+        }
+    }
+
+    fn handle_mark(&mut self, as_of: Timestamp) {
+        self.inputs.record_mark(as_of);
+        if std::mem::take(&mut self.is_heartbeat_due) {
+            self.send_reports();
+        }
     }
 
     fn run_timers(&mut self) {
@@ -260,10 +281,6 @@
                 DispatcherTimer::Report => {}
                 DispatcherTimer::Resend => self.resend_unsent(),
                 DispatcherTimer::DelegatedDeadline(number) => self.on_delegated_deadline(number),
-                DispatcherTimer::CaughtUp => {
-                    self.home.mark_dirty();
-                    self.owner.mark_dirty();
-                }
             }
         }
     }
@@ -303,6 +320,7 @@
             RunEvent::OrderAnswered { order, answer } => {
                 self.owner.order_answered(self.now, order, answer);
             }
+            RunEvent::InputsRead { as_of } => self.handle_mark(as_of),
             RunEvent::StopRequested { grace } => self.stop(grace),
             RunEvent::Tick => {}
         }
--- a/lib/tests/odd_reports.rs
+++ b/lib/tests/odd_reports.rs
@@ -202,6 +202,8 @@
         self.dispatcher.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
+                // Nothing waits in this site's inputs.
+                RunAction::ReadInputs { as_of } => self.handle(RunEvent::InputsRead { as_of }),
                 RunAction::Order {
                     order,
                     addressed_order,
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -176,6 +176,10 @@
 /// The one-way delay of a message between instances.
 pub(super) const PEER_DELAY: Duration = Duration::from_micros(900);
 
+/// How long a mark takes through the inputs of an instance that is not behind: it comes after the word
+/// of callers who have left, which a thawed instance reads last.
+const MARK_DELAY: Duration = Duration::from_millis(3);
+
 impl RunSite {
     /// Returns a site whose instances have all been started.
     ///
@@ -418,6 +422,11 @@
                 }
             }
             RunAction::ReadListing { is_on, .. } => self.nodes[node].reads_listing = is_on,
+            RunAction::ReadInputs { as_of } => {
+                let incarnation = self.nodes[node].incarnation;
+                let event = RunEvent::InputsRead { as_of };
+                self.schedule_event(MARK_DELAY, node, incarnation, event);
+            }
             RunAction::SetPeers(_) | RunAction::RegisterAgain => {}
         }
     }
