runs: date what a requester wants by what it had read, and check it at each start

Runs of callers that had left went on, or started, beside the runs of their next submission: at an owner whose home was slow to read that the caller had left and was frozen before it had, and at the home of a job whose delegating instance was slow.

Cause: an owner counted a home as reachable until 600 ms after its last fresh message had arrived, and looked only at its heartbeats: 300 ms of flight, 600 ms and 150 ms, at each of two hops. What the message rested on, the inputs that its sender had read, was not dated at all.

RequesterContacts keeps, for each home and each delegating instance, the time up to which it is known to have wanted its requests: the time that its message echoes, less the age of its inputs. A heartbeat names that age; a request is sent with inputs of 300 ms at most. Owner::start_in_order checks it at the start of each task, whichever way the task came, and a timer drops what has passed 600 ms at that very time. An instance whose own inputs are 1,200 ms old stops its own runs at its upstreams.

Two hops of 600 ms, 3 % for clocks and 50 ms for the stop end within the 1,300 ms after which a caller comes again; a constant assertion beside the limits fails the build where that does not hold.

Cost: up to 3 bytes a heartbeat, no message and no call.

--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -92,6 +92,7 @@
             delegated_highest_taken: report.delegation.highest_taken,
             delegated_open: report.delegation.open,
             delegated_highest_sent: report.delegation.highest_sent,
+            input_age_us: to_us(report.input_age),
         }),
         RunMessage::Delegate(job) => Kind::DelegatedJob(job.into()),
         RunMessage::Delegated { number, outcome } => {
@@ -188,6 +189,7 @@
             open: numbers("report.delegated_open", report.delegated_open)?,
             highest_sent: report.delegated_highest_sent,
         },
+        input_age: Duration::from_micros(report.input_age_us),
     })
 }
 
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -943,6 +943,9 @@
     /// The highest number of a delegated job that the sender has given.
     #[prost(uint64, tag = "9")]
     pub delegated_highest_sent: u64,
+    /// How long before it was sent the sender had read all that had reached it.
+    #[prost(uint64, tag = "10")]
+    pub input_age_us: u64,
 }
 /// The load of one instance.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -58,6 +58,7 @@
 mod placing;
 mod queue_suspension;
 mod requester_contacts;
+mod requester_watch;
 mod requesting;
 pub mod resources;
 pub mod roster;
--- a/lib/src/runs/delegation/held_jobs.rs
+++ b/lib/src/runs/delegation/held_jobs.rs
@@ -167,6 +167,14 @@
         open.collect()
     }
 
+    /// The incarnations that wait for an open job.
+    pub(crate) fn open_senders(&self) -> impl Iterator<Item = Incarnation> {
+        let is_open = |state: &HeldState| matches!(state, HeldState::Open(_));
+        let senders = self.senders.iter();
+        let waiting = senders.filter(move |(_, held)| held.jobs.values().any(is_open));
+        waiting.map(|(sender, _)| *sender)
+    }
+
     /// Forgets the jobs of an incarnation that has ended.
     pub(crate) fn forget(&mut self, sender: Incarnation) {
         self.senders.swap_remove(&sender);
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -61,12 +61,29 @@
         if !is_for_this_incarnation {
             return log_wrong_receiver(sender, &timed);
         }
-        let name = &sender.instance;
         let is_fresh = freshness == Freshness::Fresh;
-        if let Some(echo) = echo.filter(|_| is_fresh && regular) {
-            self.owner.requesters.record(sender.incarnation, echo);
+        if let (Some(echo), Some(input_age)) = (echo, timed.message.sender_input_age(is_fresh)) {
+            let as_of = echo.before(input_age);
+            self.owner.requesters.record(sender.incarnation, as_of);
         }
+        let is_request = timed.message.is_request();
+        self.apply_message(peer, sender, is_fresh, echo, timed);
+        if is_request {
+            self.watch_requesters();
+        }
+    }
+
+    /// Applies a message for this incarnation; `echo` is the sender's estimate of this instance's clock.
+    fn apply_message(
+        &mut self,
+        peer: PeerKey,
+        sender: &PeerIdentity,
+        is_fresh: bool,
+        echo: Option<Timestamp>,
+        timed: TimedRunMessage,
+    ) {
         let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
+        let (name, sent_at) = (&sender.instance, timed.sent_at);
         match timed.message {
             RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, batch),
             RunMessage::Place(batch) => self.owner.refuse_stale(now, home, batch),
@@ -327,6 +344,7 @@
                 open,
                 highest_sent: self.home.highest_batch_number(),
                 delegation,
+                input_age: self.inputs.age(self.now),
             };
             self.send(peer, RunMessage::Report(report));
         }
--- a/lib/src/runs/dispatcher_peers.rs
+++ b/lib/src/runs/dispatcher_peers.rs
@@ -80,16 +80,6 @@
         for (peer, incarnation) in self.peers.forget_unlisted(now) {
             self.on_incarnation_ended(peer, incarnation);
         }
-        for home in self.owner.homes() {
-            let is_home_reachable = home == self.settings.incarnation
-                || self
-                    .peers
-                    .by_incarnation(home)
-                    .is_some_and(|key| self.peers.peers[key].is_reachable(now));
-            if !is_home_reachable {
-                self.owner.drop_home(now, home);
-            }
-        }
     }
 
     /// Gives up what depends on an incarnation of an instance that has ended.
--- a/lib/src/runs/input_horizon.rs
+++ b/lib/src/runs/input_horizon.rs
@@ -31,9 +31,11 @@
 }
 
 impl InputHorizon {
-    /// Records the first event: a new process cannot have missed an input.
-    pub(crate) fn begin(&mut self, now: Timestamp) {
+    /// Records the first event: a new process cannot have missed an input. Returns whether this is it.
+    pub(crate) fn begin(&mut self, now: Timestamp) -> bool {
+        let is_first = self.read_until.is_none();
         self.read_until.get_or_insert(now);
+        is_first
     }
 
     /// Returns whether to send a mark of this time, which is then on its way.
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -118,6 +118,9 @@
     /// No home has claimed it.
     #[display("unclaimed")]
     Unclaimed,
+    /// It is not known whether the callers of its home still wait.
+    #[display("outdated")]
+    Outdated,
 }
 
 impl LeasedRun {
--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -15,6 +15,7 @@
 use super::owner::Owner;
 use super::owner::OwnerNotice;
 use super::run_id::HeldBatchKey;
+use super::run_id::LeasedUpstreamKey;
 use super::run_id::OrderId;
 use super::run_id::RunId;
 use super::run_message::EndedRun;
@@ -212,6 +213,25 @@
         }
     }
 
+    /// Stops the runs of a home, which learns that they are lost; its queued tasks wait on.
+    pub(crate) fn stop_runs_of(&mut self, now: Timestamp, home: Incarnation) {
+        let batches = &self.batches;
+        let is_of_home = |run: &LeasedRun| {
+            let batch = run.task.and_then(|(batch_key, _)| batches.get(batch_key));
+            batch.is_some_and(|batch| batch.home == home)
+                && !matches!(run.phase, RunPhase::Stopping { .. })
+        };
+        let upstreams = self.upstreams.iter();
+        let runs = upstreams.flat_map(|(upstream_key, upstream)| {
+            let of_home = upstream.runs.iter().filter(|(_, run)| is_of_home(run));
+            of_home.map(move |(run, _)| (upstream_key, *run))
+        });
+        let runs: Vec<(LeasedUpstreamKey, RunId)> = runs.collect();
+        for (upstream_key, run) in runs {
+            self.stop(now, upstream_key, run, StopReason::Outdated);
+        }
+    }
+
     fn drop_batch(&mut self, now: Timestamp, batch_key: HeldBatchKey) {
         let Some(batch) = self.remove_batch(batch_key) else {
             return;
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -80,6 +80,13 @@
         let mut bypasses = 0;
         let mut left = Vec::new();
         for (position, (batch_key, task)) in queue.into_iter().enumerate() {
+            if !self
+                .requesters
+                .is_current(now, self.batches[batch_key].home)
+            {
+                left.push((batch_key, task));
+                continue;
+            }
             let service = &self.batches[batch_key].service;
             let reserve = match reserves.get(service) {
                 Some(reserves) if position >= starved && bypasses < MAX_BYPASSES => {
--- a/lib/src/runs/requester_contacts.rs
+++ b/lib/src/runs/requester_contacts.rs
@@ -4,14 +4,40 @@
 
 use indexmap::IndexMap;
 
+use super::peer_table::PEER_TIMEOUT;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
 
+/// How old the knowledge of a requester may be for anything of it to start or to go on.
+pub(crate) const MAX_REQUESTER_AGE: Duration = PEER_TIMEOUT;
+
+/// How old this instance's own inputs may be for the runs of its jobs to go on at its own upstreams.
+///
+/// Another instance may vouch for a job that is delegated to it for as long as both limits together.
+pub(crate) const MAX_OPEN_INPUT_AGE: Duration = MAX_REQUESTER_AGE.saturating_mul(2);
+
+/// How long after its connection broke a caller submits its job again, at the earliest.
+const CALLER_RETRY_PAUSE: Duration = Duration::from_millis(1_300);
+
+/// How long an upstream takes to stop a run.
+const MAX_STOP_TIME: Duration = Duration::from_millis(50);
+
+/// The most that a clock may gain on another one, in percent.
+const MAX_CLOCK_DRIFT_PERCENT: u32 = 3;
+
+/// An instance that delegates a job vouches for its caller, and the job's home vouches for the job at
+/// the owners of its tasks. The runs of a caller that has left must have ended when it comes back.
+const _: () = {
+    let vouched_ms = MAX_OPEN_INPUT_AGE.as_millis() * (100 + MAX_CLOCK_DRIFT_PERCENT as u128) / 100;
+    assert!(vouched_ms + MAX_STOP_TIME.as_millis() < CALLER_RETRY_PAUSE.as_millis());
+};
+
 /// The latest time, on this instance's clock, of which each requester is known to have wanted what it
 /// had requested.
 ///
-/// A requester is the home of tasks placed here or an instance that has delegated a job. A message
-/// tells of the time up to which its sender had read its inputs, however late it arrives.
+/// A requester is the home of tasks placed here, this instance's own included, or an instance that has
+/// delegated a job. A message tells of the time up to which its sender had read its inputs, however
+/// late it arrives.
 #[derive(Debug, Default)]
 pub(crate) struct RequesterContacts {
     as_of: IndexMap<Incarnation, Timestamp>,
@@ -33,4 +59,16 @@
     pub(crate) fn age(&self, now: Timestamp, requester: Incarnation) -> Option<Duration> {
         self.as_of.get(&requester).map(|as_of| now.since(*as_of))
     }
+
+    /// Whether the knowledge of a requester is recent enough for something of it to start or to go on.
+    pub(crate) fn is_current(&self, now: Timestamp, requester: Incarnation) -> bool {
+        self.age(now, requester)
+            .is_some_and(|age| age < MAX_REQUESTER_AGE)
+    }
+
+    /// When the knowledge of a requester becomes too old, unless a message comes first.
+    pub(crate) fn expires_at(&self, requester: Incarnation) -> Option<Timestamp> {
+        let as_of = self.as_of.get(&requester)?;
+        Some(*as_of + MAX_REQUESTER_AGE)
+    }
 }
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -20,6 +20,7 @@
 use super::overload::OverloadPolicy;
 use super::owner::Owner;
 use super::peer_table::PeerTable;
+use super::requester_contacts::MAX_OPEN_INPUT_AGE;
 use super::roster::Roster;
 use super::roster_watch::RosterWatch;
 use super::run_action::RunAction;
@@ -53,6 +54,8 @@
     Heartbeat,
     Report,
     Resend,
+    /// A requester may not have been heard of in time.
+    RequesterCheck,
     /// The callers of the delegated job of this number are about to leave.
     DelegatedDeadline(u64),
 }
@@ -102,6 +105,8 @@
     /// Whether a heartbeat waits until the inputs have been read.
     pub(crate) is_heartbeat_due: bool,
     pub(crate) unsent: Vec<UnsentMessage>,
+    /// When the requesters are checked next; none while nothing is held for others.
+    pub(crate) requesters_checked_at: Option<Timestamp>,
     /// The instances that this process has asked for the crashes that they know of.
     pub(crate) crash_requests: IndexSet<PeerKey>,
     /// The instances with which this one exchanges heartbeats.
@@ -146,6 +151,7 @@
             inputs: InputHorizon::default(),
             is_heartbeat_due: false,
             unsent: Vec::new(),
+            requesters_checked_at: None,
             crash_requests: IndexSet::new(),
             neighbours: IndexSet::new(),
             is_leaving: false,
@@ -161,7 +167,9 @@
     /// `now` must not be earlier than in the previous call.
     pub fn handle(&mut self, now: Timestamp, event: RunEvent, actions: &mut Vec<RunAction>) {
         self.now = now.max(self.now);
-        self.inputs.begin(self.now);
+        if self.inputs.begin(self.now) {
+            self.record_own_inputs();
+        }
         self.run_timers();
         self.handle_event(event);
         self.check_inputs();
@@ -243,6 +251,9 @@
         if self.inputs.is_mark_due(self.now) {
             self.send_mark();
         }
+        if self.inputs.age(self.now) >= MAX_OPEN_INPUT_AGE {
+            self.owner.stop_runs_of(self.now, self.settings.incarnation);
+        }
         if !self.inputs.record_lateness(self.now) {
             return;
         }
@@ -265,8 +276,16 @@
         }
     }
 
+    /// Records of which time this instance knows what its own callers want.
+    fn record_own_inputs(&mut self) {
+        let read_until = self.now.before(self.inputs.age(self.now));
+        let own = self.settings.incarnation;
+        self.owner.requesters.record(own, read_until);
+    }
+
     fn handle_mark(&mut self, as_of: Timestamp) {
         self.inputs.record_mark(as_of);
+        self.record_own_inputs();
         if std::mem::take(&mut self.is_heartbeat_due) {
             self.send_reports();
         }
@@ -280,6 +299,7 @@
                 DispatcherTimer::Heartbeat => self.on_heartbeat_due(),
                 DispatcherTimer::Report => {}
                 DispatcherTimer::Resend => self.resend_unsent(),
+                DispatcherTimer::RequesterCheck => self.check_requesters(),
                 DispatcherTimer::DelegatedDeadline(number) => self.on_delegated_deadline(number),
             }
         }
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -15,6 +15,7 @@
 use super::delegation::message::DelegationOutcome;
 use super::delegation::report::DelegationReport;
 use super::evacuation::EvacuatedDataCentres;
+use super::input_horizon::MAX_INPUT_AGE;
 use super::listing_relay::ListingUpdate;
 use super::resources::Resources;
 use super::run_digest::RunDigest;
@@ -142,6 +143,24 @@
             RunMessage::Listing(_) | RunMessage::IntendedRequest { .. }
         )
     }
+
+    /// Whether it asks the receiver to run something.
+    pub(crate) fn is_request(&self) -> bool {
+        matches!(
+            self,
+            RunMessage::Place(_) | RunMessage::Adopt { .. } | RunMessage::Delegate(_)
+        )
+    }
+
+    /// How old the inputs of the sender may have been at most when it sent the message, if the message
+    /// shows that the sender wants what it has requested; an outdated report is not read.
+    pub(crate) fn sender_input_age(&self, is_fresh: bool) -> Option<Duration> {
+        match self {
+            RunMessage::Report(report) => is_fresh.then_some(report.input_age),
+            request if request.is_request() => Some(MAX_INPUT_AGE),
+            _ => None,
+        }
+    }
 }
 
 /// Tasks of one job that its home places with an owner.
@@ -334,4 +353,6 @@
     pub highest_sent: u64,
     /// The delegated jobs between sender and receiver.
     pub delegation: DelegationReport,
+    /// How long before it was sent the sender had read all that had reached it.
+    pub input_age: Duration,
 }
