runs: report no run as lost that goes on for another batch

A home that claims a run which the new owner of its upstream has found is told that the run is lost, and places the task again at once, although the run goes on: it had been claimed before, by another home of the same job or by an earlier batch of the same home, whose stop is still on its way. No caller's record shows this; it was found in reading the ways by which a home places a task again.

Cause: the owner answers a claim for a run that is not listed as unclaimed from the ends that it knows, and takes any other run for one that has vanished. A claimed run is no longer listed as unclaimed. It is the class of a fact that is concluded from absence in one of the two tables where the run may be.

Now such a run is reported as taken over, which tells its home only that it may go on. The home waits for another finding of it, or until no owner can hold a lease any more. A run is reported as lost only if it is in neither table of a reachable upstream.

--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -100,14 +100,18 @@
         }
     }
 
-    /// How a run ended that cannot be adopted because its upstream does not list it as running.
+    /// How a run ended that cannot be adopted because its upstream does not list it as unclaimed.
+    ///
+    /// It may still go on if its upstream is not reachable here, or if it was claimed before.
     fn end_of_missing(&self, run: RunId, id: &str) -> RunEnd {
         let upstream = self
             .by_id
             .get(id)
             .map(|upstream_key| &self.upstreams[*upstream_key]);
-        let Some(upstream) = upstream.filter(|upstream| upstream.contact == Contact::Reachable)
-        else {
+        let certain = upstream.filter(|upstream| {
+            upstream.contact == Contact::Reachable && !upstream.runs.contains_key(&run)
+        });
+        let Some(upstream) = certain else {
             let upstream = Arc::from(id);
             return RunEnd::TakenOver { upstream };
         };
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -247,7 +247,7 @@
         /// The upstream.
         upstream: Arc<str>,
     },
-    /// The run may still go on on this upstream, which another instance has taken over.
+    /// The run may still go on on this upstream, under another instance or for another batch.
     TakenOver {
         /// The upstream.
         upstream: Arc<str>,
