runs: end leases before a caller that has left comes back

A run went on beside the caller's next submission where its home had not read that the caller had left, and its owner was frozen after it had renewed the lease once more: the lease lasted for a second from the renewal, whatever the owner knew by then.

A lease now ends at most 1,200 ms after the time as of which the homes of all runs on its upstream, and of the one that starts, are known to have wanted them (Owner::lease_on, for starts, renewals and claims). While homes are heard within 200 ms that is longer than the lease in force, so that nothing changes. An idle upstream is not renewed: a run that starts there brings its own lease.

This bounds one hop. Where an instance that has delegated, the home and the owner are all silent or frozen in turn, the lease may outlast the caller's pause.

All tests of almondhead-lib pass.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -49,6 +49,7 @@
 mod owner_crashes;
 mod owner_entries;
 mod owner_evacuation;
+mod owner_leases;
 mod owner_lone_runs;
 mod owner_reports;
 mod owner_reserve;
--- a/lib/src/runs/owner_contact.rs
+++ b/lib/src/runs/owner_contact.rs
@@ -67,7 +67,8 @@
 
     /// Sends an order that renews the leases on an upstream and waits for ends, unless one is pending.
     pub(crate) fn renew(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
-        let lease = self.lease;
+        // A run that starts on an idle upstream brings its own lease.
+        let lease = self.lease_on(now, upstream_key, None);
         let Some(upstream) = self.upstreams.get_mut(upstream_key) else {
             return;
         };
@@ -86,7 +87,7 @@
         // Leases are not renewed on an upstream that does not answer, so that they expire in time.
         let lease_until_ms = match upstream.contact {
             Contact::Reachable if !upstream.has_missed_renew && !upstream.awaits_claim => {
-                upstream.extend_lease(now, lease)
+                lease.and_then(|lease| upstream.extend_lease(now, lease))
             }
             _ => None,
         };
@@ -107,12 +108,12 @@
     /// Extends the leases on an upstream where a home has claimed the first run, if the renew order
     /// that is waiting did not.
     pub(crate) fn extend_claimed_lease(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
-        let lease = self.lease;
+        let lease = self.lease_on(now, upstream_key, None);
         let upstream = &mut self.upstreams[upstream_key];
         if !std::mem::take(&mut upstream.awaits_claim) {
             return;
         }
-        let lease_until_ms = upstream.extend_lease(now, lease);
+        let lease_until_ms = lease.and_then(|lease| upstream.extend_lease(now, lease));
         self.send_probe(now, upstream_key, lease_until_ms);
     }
 
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -242,10 +242,11 @@
             self.recent_starts
                 .record(now, service, priority, demand.cpu_millicores, work);
         }
-        let lease = self.lease;
+        let lease = self.lease_on(now, upstream_key, Some(home));
         let upstream = &mut self.upstreams[upstream_key];
         let expected = scaled(usual, upstream.speed.slowness());
-        let Some(lease_until_ms) = upstream.extend_lease(now, lease) else {
+        let lease_until_ms = lease.and_then(|lease| upstream.extend_lease(now, lease));
+        let Some(lease_until_ms) = lease_until_ms else {
             return self.requeue(Some((batch_key, task)), None);
         };
         let mut leased = LeasedRun::starting((batch_key, task), queue, demand, usual, now);
