runs: failing tests for runs and leases that outlast a caller's word

A home that has not read that its caller left goes on renewing the lease of the run at its own upstream: an answer that it reads 0.8 s late lets it renew for another second. Slow or frozen from then on, it stops the run only after the caller has submitted the job again, 1.3 s after it left.

The same holds between two instances: an owner renews for a second as long as it counts the home as reachable. Where the home is frozen and then the owner, the run lasts for up to 600 ms, the next check and a second.

--- a/lib/tests/slow_process.rs
+++ b/lib/tests/slow_process.rs
@@ -276,3 +276,80 @@
         }
     }
 }
+
+/// How late [`HOME`] reads its inputs at first: the answer to a pending renew order is read before the
+/// lease ends.
+const FIRST_LAG_MS: u64 = 800;
+
+/// Lets [`HOME`] run the job on an upstream of its own, and read everything late until just before it
+/// would read that the caller has left, `leaves_after_ms` after the lag began.
+fn run_with_late_renewal(lags_after_ms: u64, leaves_after_ms: u64) -> RunSite {
+    let mut site = started(2);
+    site.submit(HOME, "look", JOB, &run_job(1, 6_800, 4_000));
+    // From then on renew orders are answered within 120 ms.
+    site.run_ms(600 + lags_after_ms);
+    assert_eq!(starts_at(&site, HOME), 1);
+    set_lag(&mut site, HOME, FIRST_LAG_MS);
+    site.run_ms(leaves_after_ms);
+    site.drop_caller(JOB);
+    site.run_ms(FIRST_LAG_MS - 1);
+    site
+}
+
+/// When the lag begins and when the caller leaves, within an interval of heartbeats each.
+fn renewal_phases() -> impl Iterator<Item = (u64, u64)> {
+    let lags_after_ms = (0..HEARTBEAT_MS).step_by(10);
+    lags_after_ms.flat_map(|lags| {
+        (0..HEARTBEAT_MS)
+            .step_by(10)
+            .map(move |leaves| (lags, leaves))
+    })
+}
+
+/// Guards against a run that goes on at an upstream of its home while the home has not read that the
+/// caller has left, because the lease was renewed by an answer that the home did read.
+#[test]
+fn slow_home_stops_its_own_runs_before_callers_come_back() {
+    for (lags_after_ms, leaves_after_ms) in renewal_phases() {
+        let mut site = run_with_late_renewal(lags_after_ms, leaves_after_ms);
+        set_lag(&mut site, HOME, ENDLESS_LAG_MS);
+        site.run_ms(RESUBMIT_DELAY_MS - FIRST_LAG_MS + 1);
+        submit_again(&mut site, NEXT_HOME);
+        let case = format!("lag after {lags_after_ms} ms, left {leaves_after_ms} ms later");
+        assert_promises(&site, &case);
+    }
+}
+
+/// Guards against a lease that outlasts what the home knew of its caller when it renewed it: a home that
+/// is frozen can stop nothing.
+#[test]
+fn lease_of_a_slow_home_ends_before_callers_come_back() {
+    for (lags_after_ms, leaves_after_ms) in renewal_phases() {
+        let mut site = run_with_late_renewal(lags_after_ms, leaves_after_ms);
+        site.freeze(HOME);
+        site.run_ms(RESUBMIT_DELAY_MS - FIRST_LAG_MS + 1);
+        submit_again(&mut site, NEXT_HOME);
+        let case = format!("lag after {lags_after_ms} ms, left {leaves_after_ms} ms later");
+        assert_promises(&site, &case);
+    }
+}
+
+/// Guards against the same at another owner, which has not found the home unreachable when it renews
+/// the lease, and is frozen afterwards.
+#[test]
+fn lease_of_an_unheard_home_ends_before_callers_come_back() {
+    for (leaves_after_ms, frozen_after_ms) in phases() {
+        let mut site = started_with_remote_owner();
+        submit_job(&mut site, HOME);
+        site.run_ms(100 + leaves_after_ms);
+        assert_eq!(starts_at(&site, OWNER), 1);
+        site.freeze(HOME);
+        site.drop_caller(JOB);
+        site.run_ms(frozen_after_ms);
+        site.freeze(OWNER);
+        site.run_ms(RESUBMIT_DELAY_MS - frozen_after_ms);
+        submit_again(&mut site, NEXT_HOME);
+        let case = format!("left after {leaves_after_ms} ms, frozen {frozen_after_ms} ms later");
+        assert_promises(&site, &case);
+    }
+}
