entry: input marks wait behind a readable socket and forwarded messages

A mark says that all requests, disconnections and peer messages that had reached the process were handed to the driver. It rested on a timer of 1 ms and one turn of the executor, which leaves these ways past it:

- `react` (async-io 2.6.0 reactor.rs:283, 361) wakes due timers before the sockets of the same pass, one by one, often from another thread than the executor's: the mark ran and yielded before the rest was woken.
- One pass returns 1,024 events at most (polling 3.11.0 lib.rs:851).
- A timer that is first polled late is ready without a pass of the reactor.
- A peer message takes two tasks (peer_inbox.rs `deliver`, run_process.rs `receive_messages`): the second came behind the mark.
- A task that runs while it is woken goes to the end of the queue.
- The channel between both tasks held 64 messages; readers that waited for room came turns later.

A mark now waits for a socket that can always be read. epoll reports sockets in the order in which they became ready, and the reactor wakes their tasks in that order, so the mark's task comes last, over several passes if needed. It then lets the executor go round twice. The messages of peers go to the driver's queue, which is unbounded already, without a bound between; the driver of jobs without leases keeps its backpressure.

Holds for one executor thread, which is what the deployment sets. With more threads a task that was taken from the queue by another thread can still be overtaken.

--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -16,7 +16,7 @@
 mod executor;
 mod guarded_transport;
 mod hop_tracker;
-mod input_mark;
+pub mod input_mark;
 mod instance_watch;
 mod job_address;
 mod job_handlers;
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -14,8 +14,8 @@
 /// The received messages, authenticated, in the order of their arrival.
 pub type Incoming = Receiver<Envelope>;
 
-/// Maximum number of received messages that wait to be processed.
-pub(crate) const MAX_INCOMING_MESSAGES: usize = 64;
+/// Maximum number of received messages that wait for a receiver which applies backpressure.
+pub const MAX_INCOMING_MESSAGES: usize = 64;
 
 /// Sends messages to siblings; a message may arrive late, more than once or not at all.
 pub trait PeerTransport: Send + Sync {
@@ -84,4 +84,7 @@
     pub listen: std::net::SocketAddr,
     /// The key that all entry instances of the firm share; it authenticates messages.
     pub key: Vec<u8>,
+    /// The maximum number of received messages that wait for their receiver; further ones wait at the
+    /// sockets. None for a receiver that hands messages on at once.
+    pub max_incoming_messages: Option<usize>,
 }
--- a/entry/src/peer_tcp.rs
+++ b/entry/src/peer_tcp.rs
@@ -22,7 +22,6 @@
 use crate::executor::BackgroundTask;
 use crate::log_limit::LogLimit;
 use crate::peer::Incoming;
-use crate::peer::MAX_INCOMING_MESSAGES;
 use crate::peer::PeerSendError;
 use crate::peer::PeerSettings;
 use crate::peer::PeerStartError;
@@ -68,7 +67,10 @@
         let sealer = EnvelopeSealer::new(&settings.key);
         let greetings = Arc::new(PeerGreetings::new(&settings.key));
         let counters = Arc::new(PeerCounters::default());
-        let (incoming, messages) = async_channel::bounded(MAX_INCOMING_MESSAGES);
+        let (incoming, messages) = match settings.max_incoming_messages {
+            Some(messages) => async_channel::bounded(messages),
+            None => async_channel::unbounded(),
+        };
         let routes = Routes::default();
         let inbox = Arc::new(Inbox {
             routes: routes.clone(),
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -50,6 +50,7 @@
 use crate::operator_api::OperatorContext;
 use crate::operator_api::operator_api;
 use crate::peer::Incoming;
+use crate::peer::MAX_INCOMING_MESSAGES;
 use crate::peer::PeerSettings;
 use crate::peer::PeerStartError;
 use crate::peer_tcp::TcpTransport;
@@ -85,6 +86,10 @@
     /// The signal handlers cannot be installed.
     #[display("listen for signals: {_0}")]
     Signals(io::Error),
+    /// The socket that marks wait behind cannot be opened.
+    #[display("open the socket of input marks: {_0}")]
+    #[from(skip)]
+    InputMark(io::Error),
     /// A task of the process has panicked; what depends on it would wait for ever.
     #[display("a task panicked: {message}")]
     #[from(skip)]
@@ -223,6 +228,7 @@
             identity: identity.clone(),
             listen: settings.peer_address,
             key: settings.peer_key.expose().to_vec(),
+            max_incoming_messages: Some(MAX_INCOMING_MESSAGES),
         })?;
         let shared = Shared {
             identity,
--- a/entry/src/run_driver.rs
+++ b/entry/src/run_driver.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondhead_lib::id::RequestId;
 use almondhead_lib::membership::Sibling;
@@ -24,15 +25,19 @@
 use async_channel::Sender;
 use futures_lite::future::or;
 use indexmap::IndexMap;
+use smol::Timer;
 
 use crate::clock::Clock;
 use crate::executor;
-use crate::input_mark;
+use crate::input_mark::InputMark;
 use crate::peer::PeerTransport;
 use crate::run_handle::RunHandle;
 use crate::run_metrics::RunMetrics;
 use crate::timer::TimerService;
 
+/// Delay before a mark that failed is sent again.
+const MARK_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// A command to the driver.
 pub(crate) enum RunCommand {
     /// Hand an event to the dispatcher.
@@ -66,6 +71,8 @@
     pub(crate) peers: Arc<dyn PeerTransport>,
     pub(crate) metrics: RunMetrics,
     pub(crate) handle: RunHandle,
+    /// Passes the inputs of the process.
+    pub(crate) input_mark: Arc<InputMark>,
     /// Switches the reads of the upstreams' entries.
     pub(crate) listing_switch: Arc<ListingSwitch>,
     /// Asks the roster session to write this instance's row again.
@@ -217,8 +224,12 @@
     /// Sends a mark behind all that has reached this process.
     fn send_mark(&self, as_of: Timestamp) {
         let handle = self.effects.handle.clone();
+        let input_mark = Arc::clone(&self.effects.input_mark);
         executor::spawn(async move {
-            input_mark::pass_inputs().await;
+            while let Err(error) = input_mark.pass().await {
+                tracing::error!(%error, "inputs not passed");
+                Timer::after(MARK_RETRY_DELAY).await;
+            }
             handle.send(RunEvent::InputsRead { as_of });
         });
     }
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::deferred_transport::DeferredTransport;
 use crate::executor;
+use crate::input_mark::InputMark;
 use crate::listener;
 use crate::peer::Incoming;
 use crate::peer::PeerSettings;
@@ -112,12 +113,14 @@
         let peers = Arc::new(DeferredTransport::default());
         let (register_again, registrations) = async_channel::bounded(1);
         let listing_switch = Arc::new(ListingSwitch::default());
+        let input_mark = InputMark::open().map_err(ProcessError::InputMark)?;
         let effects = RunEffects {
             orders: Arc::new(OrderClient::default()),
             store: Arc::clone(&store),
             peers: peers.clone(),
             metrics,
             handle: handle.clone(),
+            input_mark: Arc::new(input_mark),
             listing_switch: Arc::clone(&listing_switch),
             register_again,
         };
@@ -130,6 +133,8 @@
             identity: identity.clone(),
             listen: settings.peer_address,
             key: key.to_vec(),
+            // They go on to the driver's queue at once: an input mark must come behind them.
+            max_incoming_messages: None,
         };
         let (transport, incoming) = TcpTransport::start(peer_settings)?;
         peers.start(transport);
--- a/entry/tests/common/peers.rs
+++ b/entry/tests/common/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use almondhead_entry::peer::Incoming;
+use almondhead_entry::peer::MAX_INCOMING_MESSAGES;
 use almondhead_entry::peer::PeerSendError;
 use almondhead_entry::peer::PeerSettings;
 use almondhead_entry::peer::PeerTransport;
@@ -45,7 +46,14 @@
         identity: identity(instance, incarnation),
         listen,
         key: key.to_vec(),
+        max_incoming_messages: Some(MAX_INCOMING_MESSAGES),
     };
+    start_with(settings)
+}
+
+/// Starts a transport with its settings.
+#[allow(dead_code)]
+pub(crate) fn start_with(settings: PeerSettings) -> Peer {
     let (transport, incoming) = TcpTransport::start(settings).unwrap();
     Peer {
         transport,
