entry: input mark tests find inputs and timers in one pass of the reactor

Another thread ran the reactor meanwhile, so that the inputs were queued before the mark was asked for: the old mark passed them too. They now hold the reactor up, as a stop of the process does.

`mark_of_a_stopped_process_comes_behind_inputs` passes with both: it does not show the timer that is polled late.

--- a/entry/tests/input_mark.rs
+++ b/entry/tests/input_mark.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod peers;
 
+use std::future::Future;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -12,6 +13,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::task::Context;
+use std::task::Wake;
+use std::task::Waker;
 use std::time::Duration;
 
 use almondhead_entry::input_mark::InputMark;
@@ -43,7 +47,7 @@
 
 const ROUNDS: usize = 20;
 
-/// How long the executor is busy while inputs arrive.
+/// How long the reactor is held up while inputs arrive.
 const BUSY: Duration = Duration::from_millis(30);
 
 /// How long tasks may take to wait for their sockets again.
@@ -72,15 +76,29 @@
     smol::block_on(passed)
 }
 
-/// Keeps the executor busy; returns once it is.
-fn keep_busy() {
-    let (is_busy, busy) = std::sync::mpsc::channel();
-    async_global_executor::spawn(async move {
-        is_busy.send(()).unwrap();
+/// A waker that holds the reactor up, which wakes tasks one after another.
+struct SlowWaker(Sender<()>);
+
+impl Wake for SlowWaker {
+    fn wake(self: Arc<Self>) {
+        self.0.try_send(()).unwrap();
         std::thread::sleep(BUSY);
-    })
-    .detach();
-    busy.recv().unwrap();
+    }
+}
+
+/// Holds the reactor up, as a stop of the process does; returns once it is.
+///
+/// Inputs that arrive meanwhile are found in one pass of the reactor, together with timers.
+fn hold_reactor_up() {
+    let (here, mut there) = UnixStream::pair().unwrap();
+    let socket = Async::new(here).unwrap();
+    let (is_held, held) = unbounded();
+    let waker = Waker::from(Arc::new(SlowWaker(is_held)));
+    let mut readable = Box::pin(socket.readable());
+    let first = readable.as_mut().poll(&mut Context::from_waker(&waker));
+    assert!(first.is_pending());
+    there.write_all(&[0]).unwrap();
+    held.recv_blocking().unwrap();
 }
 
 /// Starts a task that reads a socket and sends each byte to `inputs`; returns the other side.
@@ -125,7 +143,7 @@
     for round in 0..ROUNDS {
         std::thread::sleep(SETTLE);
         if round % 2 == 0 {
-            keep_busy();
+            hold_reactor_up();
         }
         for other in &mut others {
             other.write_all(&[1]).unwrap();
@@ -148,7 +166,7 @@
     for round in 0..ROUNDS {
         std::thread::sleep(SETTLE);
         if round % 2 == 0 {
-            keep_busy();
+            hold_reactor_up();
         }
         for other in &mut others {
             other.write_all(&[1]).unwrap();
@@ -236,7 +254,7 @@
     for round in 0..ROUNDS {
         std::thread::sleep(SETTLE);
         if round % 2 == 0 {
-            keep_busy();
+            hold_reactor_up();
         }
         for sibling in &mut siblings {
             sibling.write_all(&burst).unwrap();
