runs: failing test for a heartbeat that is read late

A home takes a batch as lost if a heartbeat that does not name it is read 400 ms after the batch was sent. A home that reads late dates the heartbeat by its own reading: it was sent before the owner read the batch, which starts its tasks too.

--- a/lib/tests/slow_process.rs
+++ b/lib/tests/slow_process.rs
@@ -353,3 +353,26 @@
         assert_promises(&site, &case);
     }
 }
+
+/// Guards against a batch that counts as lost on its way because a heartbeat that its owner sent before
+/// it read the batch is read late: the owner starts its tasks as well.
+#[test]
+fn heartbeat_that_is_read_late_shows_no_loss_of_a_batch() {
+    for submitted_after_ms in (0..HEARTBEAT_MS).step_by(10) {
+        let mut site = started(3);
+        for upstream in [2 * HOME, 2 * HOME + 1] {
+            site.set_upstream_fault(upstream, Some(UpstreamFault::Down));
+        }
+        site.run_ms(2_000 + submitted_after_ms);
+        submit_job(&mut site, HOME);
+        for (node, lag_ms) in [(HOME, 200), (NEXT_HOME, 250), (OWNER, 250)] {
+            set_lag(&mut site, node, lag_ms);
+        }
+        site.run_ms(300);
+        for node in [NEXT_HOME, OWNER] {
+            set_lag(&mut site, node, 0);
+        }
+        site.run_ms(2_500);
+        assert_promises(&site, &format!("submitted after {submitted_after_ms} ms"));
+    }
+}
