runs: stop own runs at the very time when the inputs become too old

An instance compared the age of its inputs with the limit of 1,200 ms at events only. With heartbeats alone the stop came up to 150 ms later, past the caller's pause of 1,300 ms. A timer at that time makes an event.

--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -56,6 +56,8 @@
     Resend,
     /// A requester may not have been heard of in time.
     RequesterCheck,
+    /// The own inputs may be too old for runs to go on.
+    InputExpiry,
     /// The callers of the delegated job of this number are about to leave.
     DelegatedDeadline(u64),
 }
@@ -267,9 +269,18 @@
                 input_age_ms,
                 "inputs read late: starting nothing until they are read"
             );
+            self.plan_input_expiry();
         }
     }
 
+    /// Plans an event for the time when the inputs become too old for own runs to go on.
+    fn plan_input_expiry(&mut self) {
+        let left = MAX_OPEN_INPUT_AGE.saturating_sub(self.inputs.age(self.now));
+        let expires_at = self.now + left;
+        self.timers
+            .subscribe(expires_at, DispatcherTimer::InputExpiry);
+    }
+
     pub(crate) fn send_mark(&mut self) {
         if self.inputs.send_mark(self.now) {
             self.actions.push(RunAction::ReadInputs { as_of: self.now });
@@ -285,6 +296,9 @@
 
     fn handle_mark(&mut self, as_of: Timestamp) {
         self.inputs.record_mark(as_of);
+        if !self.inputs.is_current(self.now) {
+            self.plan_input_expiry();
+        }
         self.record_own_inputs();
         if std::mem::take(&mut self.is_heartbeat_due) {
             self.send_reports();
@@ -300,6 +314,8 @@
                 DispatcherTimer::Report => {}
                 DispatcherTimer::Resend => self.resend_unsent(),
                 DispatcherTimer::RequesterCheck => self.check_requesters(),
+                // Every event checks the inputs.
+                DispatcherTimer::InputExpiry => {}
                 DispatcherTimer::DelegatedDeadline(number) => self.on_delegated_deadline(number),
             }
         }
