runs: count the lease of an upstream and every message by what is known of a home

- A run that starts beside another one inherits the lease that the upstream has already, up to 1,000 ms, whatever is known of its own home: with its owner frozen it went on beside the caller's next submission.
Nothing starts or is adopted now beside a lease that lasts for longer than the 1,200 ms after the time of which its home is known allow (Owner::has_short_lease).
- The check of the requesters was not planned anew when a requester was due before the planned one, so that its runs went on for too long.
- Only heartbeats named the age of the sender's inputs; requests were taken to be 300 ms old, and those of clock readings up to 10 s old were not corrected for drift.
Every message names the age now, rounded up to milliseconds, with the possible error of the sender's clock estimate; 3 bytes a message.
With it the limit for own inputs is the one for requesters, 600 ms, so that there is one limit.
Marks are sent every 50 ms whether or not earlier ones have come back: with one on its way their age went up to twice the lag.

A task for which no lease can be ordered stays in the queue; it was lost from it when `start` queued it again while the queue was rebuilt. A home that is not known to want a run any more adopts nothing: the run is reported as taken over.

--- a/lib/src/peer_codec/field.rs
+++ b/lib/src/peer_codec/field.rs
@@ -114,6 +114,11 @@
 }
 
 /// Converts a duration to whole microseconds; [`u64::MAX`] if it does not fit.
+/// Whole milliseconds, rounded up.
+pub(super) fn to_ms_up(duration: Duration) -> u32 {
+    u32::try_from(duration.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 pub(super) fn to_us(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -13,6 +13,7 @@
 use crate::peer_codec::field::name;
 use crate::peer_codec::field::optional_name;
 use crate::peer_codec::field::required;
+use crate::peer_codec::field::to_ms_up;
 use crate::peer_codec::field::to_us;
 use crate::peer_proto as proto;
 use crate::peer_proto::run_end::End;
@@ -34,12 +35,17 @@
 use crate::runs::run_message::TimedRunMessage;
 use crate::time::Timestamp;
 
+/// The age of the inputs of a sender that does not name it: an older program notices pauses of this
+/// length.
+const UNSTATED_INPUT_AGE: Duration = Duration::from_millis(300);
+
 impl From<TimedRunMessage> for proto::TimedRunMessage {
     fn from(timed: TimedRunMessage) -> Self {
         proto::TimedRunMessage {
             receiver: timed.receiver.0,
             sent_at_us: timed.sent_at.as_us(),
             echo_us: timed.echo.map(Timestamp::as_us),
+            input_age_ms: Some(to_ms_up(timed.input_age)),
             kind: Some(encode_kind(timed.message)),
         }
     }
@@ -53,6 +59,9 @@
             receiver: Incarnation(timed.receiver),
             sent_at: Timestamp::from_us(timed.sent_at_us),
             echo: timed.echo_us.map(Timestamp::from_us),
+            input_age: timed.input_age_ms.map_or(UNSTATED_INPUT_AGE, |age_ms| {
+                Duration::from_millis(u64::from(age_ms))
+            }),
             message: decode_kind(required("run.kind", timed.kind)?)?,
         })
     }
@@ -92,7 +101,6 @@
             delegated_highest_taken: report.delegation.highest_taken,
             delegated_open: report.delegation.open,
             delegated_highest_sent: report.delegation.highest_sent,
-            input_age_us: to_us(report.input_age),
         }),
         RunMessage::Delegate(job) => Kind::DelegatedJob(job.into()),
         RunMessage::Delegated { number, outcome } => {
@@ -189,7 +197,6 @@
             open: numbers("report.delegated_open", report.delegated_open)?,
             highest_sent: report.delegated_highest_sent,
         },
-        input_age: Duration::from_micros(report.input_age_us),
     })
 }
 
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -425,6 +425,9 @@
     /// The incarnation that must take it.
     #[prost(fixed64, tag = "12")]
     pub receiver: u64,
+    /// How long before it was sent the sender had read all that had reached it, at most.
+    #[prost(uint32, optional, tag = "40")]
+    pub input_age_ms: ::core::option::Option<u32>,
     /// The kinds of message.
     #[prost(
         oneof = "timed_run_message::Kind",
@@ -943,9 +946,6 @@
     /// The highest number of a delegated job that the sender has given.
     #[prost(uint64, tag = "9")]
     pub delegated_highest_sent: u64,
-    /// How long before it was sent the sender had read all that had reached it.
-    #[prost(uint64, tag = "10")]
-    pub input_age_us: u64,
 }
 /// The load of one instance.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -62,14 +62,14 @@
             return log_wrong_receiver(sender, &timed);
         }
         let is_fresh = freshness == Freshness::Fresh;
-        if let (Some(echo), Some(input_age)) = (echo, timed.message.sender_input_age(is_fresh)) {
-            let as_of = echo.before(input_age);
+        if let Some(echo) = echo.filter(|_| timed.message.shows_requests(is_fresh)) {
+            let as_of = echo.before(timed.input_age);
             self.owner.requesters.record(sender.incarnation, as_of);
         }
         let is_request = timed.message.is_request();
         self.apply_message(peer, sender, is_fresh, echo, timed);
         if is_request {
-            self.watch_requesters();
+            self.watch_requester(sender.incarnation);
         }
     }
 
@@ -288,6 +288,8 @@
             return;
         };
         let echo = peer.echo(self.now);
+        // The estimate of the receiver's clock may be too late by its drift since the last reading.
+        let input_age = self.inputs.age(self.now) + peer.clock_error(self.now);
         if let RunMessage::Place(batch) | RunMessage::Adopt { batch, .. } = &message {
             let owner = OwnerRef::Peer(key);
             self.home.record_batch_echo(owner, batch.number, echo);
@@ -298,6 +300,7 @@
                 receiver: peer.incarnation,
                 sent_at,
                 echo,
+                input_age,
                 message,
             }),
         });
@@ -344,7 +347,6 @@
                 open,
                 highest_sent: self.home.highest_batch_number(),
                 delegation,
-                input_age: self.inputs.age(self.now),
             };
             self.send(peer, RunMessage::Report(report));
         }
--- a/lib/src/runs/input_horizon.rs
+++ b/lib/src/runs/input_horizon.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::peer_table::MAX_MESSAGE_AGE;
+use super::requester_contacts::MAX_REQUESTER_AGE;
 use crate::time::Timestamp;
 
 /// The maximum age of the inputs that have been read for an instance to start or place anything, or to
@@ -11,11 +11,14 @@
 ///
 /// Callers may have left and sent their jobs to another instance, homes may have cancelled their tasks,
 /// and the word of it waits at the process's sockets.
-pub(crate) const MAX_INPUT_AGE: Duration = MAX_MESSAGE_AGE;
+pub(crate) const MAX_INPUT_AGE: Duration = MAX_REQUESTER_AGE;
 
-/// The minimum time between two marks, while no heartbeat waits for one.
+/// The minimum time between two marks, but for that of a heartbeat.
 const MARK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The maximum number of marks on their way: those of a second.
+const MAX_MARKS: usize = 20;
+
 /// How far an instance has read its inputs.
 ///
 /// It sends marks through its own input queues. When one comes back, all that had arrived before the mark
@@ -24,8 +27,10 @@
 pub(crate) struct InputHorizon {
     /// The time of the latest mark that came back; at first the time of the first event.
     read_until: Option<Timestamp>,
-    /// The time of the mark that is on its way.
+    /// When the latest mark was sent.
     mark_sent_at: Option<Timestamp>,
+    /// The number of marks that have not come back.
+    marks_on_way: usize,
     /// Whether nothing was started since some time because the inputs were too old.
     is_late: bool,
 }
@@ -40,21 +45,23 @@
 
     /// Returns whether to send a mark of this time, which is then on its way.
     pub(crate) fn send_mark(&mut self, now: Timestamp) -> bool {
-        if self.mark_sent_at.is_some() {
+        if self.marks_on_way >= MAX_MARKS {
             return false;
         }
+        self.marks_on_way += 1;
         self.mark_sent_at = Some(now);
         true
     }
 
     /// Whether the last mark was sent so long ago that the next one is due.
     pub(crate) fn is_mark_due(&self, now: Timestamp) -> bool {
-        self.mark_sent_at.is_none() && self.age(now) >= MARK_INTERVAL
+        self.mark_sent_at
+            .is_none_or(|sent_at| now.since(sent_at) >= MARK_INTERVAL)
     }
 
     /// Records that the mark of this time came back.
     pub(crate) fn record_mark(&mut self, sent_at: Timestamp) {
-        self.mark_sent_at = None;
+        self.marks_on_way = self.marks_on_way.saturating_sub(1);
         self.read_until = self.read_until.max(Some(sent_at));
     }
 
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -266,6 +266,13 @@
         Some(until_ms)
     }
 
+    /// How long the lease goes on that was ordered last, as the upstream's clock is estimated.
+    pub(crate) fn lease_left(&self, now: Timestamp) -> Duration {
+        let now_ms = self.furthest_clock.map(|clock| clock.estimate_ms(now));
+        let left_ms = now_ms.map_or(0, |now_ms| self.lease_until_ms.saturating_sub(now_ms));
+        Duration::from_millis(left_ms)
+    }
+
     /// Whether runs of earlier owners go on there and no home has claimed one of them.
     ///
     /// Their lease must not be extended: their homes may have ended, and an owner that renews the
--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -110,7 +110,9 @@
             .get(id)
             .map(|upstream_key| &self.upstreams[*upstream_key]);
         let certain = upstream.filter(|upstream| {
-            upstream.contact == Contact::Reachable && !upstream.runs.contains_key(&run)
+            upstream.contact == Contact::Reachable
+                && !upstream.runs.contains_key(&run)
+                && !upstream.unclaimed_runs.contains_key(&run)
         });
         let Some(upstream) = certain else {
             let upstream = Arc::from(id);
@@ -146,8 +148,12 @@
         let Some(upstream_key) = self.by_id.get(id).copied() else {
             return false;
         };
+        let home = self.batches[batch_key].home;
+        let is_wanted =
+            self.requesters.is_current(now, home) && self.has_short_lease(now, upstream_key, home);
+        let batch = &mut self.batches[batch_key];
         let upstream = &mut self.upstreams[upstream_key];
-        if upstream.unclaimed_runs.swap_remove(&run).is_none() {
+        if !is_wanted || upstream.unclaimed_runs.swap_remove(&run).is_none() {
             return false;
         }
         batch.tasks[task].state = HeldState::Running(upstream_key);
--- a/lib/src/runs/owner_leases.rs
+++ b/lib/src/runs/owner_leases.rs
@@ -9,6 +9,20 @@
 use crate::time::Timestamp;
 
 impl Owner {
+    /// Whether the lease that an upstream has already ends in time for a run of this home.
+    pub(crate) fn has_short_lease(
+        &self,
+        now: Timestamp,
+        upstream_key: LeasedUpstreamKey,
+        home: Incarnation,
+    ) -> bool {
+        let Some(age) = self.requesters.age(now, home) else {
+            return false;
+        };
+        let left = self.upstreams[upstream_key].lease_left(now);
+        left.saturating_add(age) <= MAX_OPEN_INPUT_AGE
+    }
+
     /// How long a lease on an upstream may last from now on, with a run of `starting` beside those that
     /// are there; none while the lease must not be extended.
     ///
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -98,12 +98,11 @@
                 true => self.choose_upstream(now, batch_key, task, reserve),
                 false => None,
             };
-            match upstream {
-                Some(upstream_key) => self.start(now, upstream_key, batch_key, task),
-                None => {
-                    bypasses += 1;
-                    left.push((batch_key, task));
-                }
+            let is_started =
+                upstream.is_some_and(|upstream_key| self.start(now, upstream_key, batch_key, task));
+            if !is_started {
+                bypasses += 1;
+                left.push((batch_key, task));
             }
         }
         self.queue = left;
@@ -183,7 +182,8 @@
                     true => upstream.can_take_lone_run(now),
                     false => upstream.can_take_work(now),
                 }
-                && self.is_within_limit(upstream_key, batch_key, task);
+                && self.is_within_limit(upstream_key, batch_key, task)
+                && self.has_short_lease(now, upstream_key, batch.home);
             if !is_candidate {
                 continue;
             }
@@ -219,13 +219,21 @@
         same_step.count() < max as usize
     }
 
+    /// Orders a task to start; returns false if no lease can be ordered for it.
     fn start(
         &mut self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
         batch_key: HeldBatchKey,
         task: TaskIndex,
-    ) {
+    ) -> bool {
+        let home = self.batches[batch_key].home;
+        let lease = self.lease_on(now, upstream_key, Some(home));
+        let upstream = &mut self.upstreams[upstream_key];
+        let lease_until_ms = lease.and_then(|lease| upstream.extend_lease(now, lease));
+        let Some(lease_until_ms) = lease_until_ms else {
+            return false;
+        };
         let batch = &mut self.batches[batch_key];
         let run = batch.run(task);
         let step_demand = batch.step_demand(task);
@@ -233,7 +241,7 @@
         let (queue, payload) = (batch.queue.clone(), batch.payload.clone());
         let is_alone = batch.tasks[task].placed.is_alone;
         let waited_ms = whole_ms(now.since(batch.accepted_at));
-        let (home, batch_number) = (batch.home, batch.number);
+        let batch_number = batch.number;
         let home_age_ms = self.requesters.age(now, home).map(whole_ms);
         batch.tasks[task].state = HeldState::Running(upstream_key);
         batch.has_begun = true;
@@ -242,13 +250,8 @@
             self.recent_starts
                 .record(now, service, priority, demand.cpu_millicores, work);
         }
-        let lease = self.lease_on(now, upstream_key, Some(home));
         let upstream = &mut self.upstreams[upstream_key];
         let expected = scaled(usual, upstream.speed.slowness());
-        let lease_until_ms = lease.and_then(|lease| upstream.extend_lease(now, lease));
-        let Some(lease_until_ms) = lease_until_ms else {
-            return self.requeue(Some((batch_key, task)), None);
-        };
         let mut leased = LeasedRun::starting((batch_key, task), queue, demand, usual, now);
         leased.expected_run_time = expected;
         leased.is_alone = is_alone;
@@ -275,6 +278,7 @@
             fence,
         };
         self.send_order(now, upstream_key, PendingKind::Start(run), order);
+        true
     }
 
     /// Orders a run to stop, also one whose start is unconfirmed or that another owner ordered.
--- a/lib/src/runs/peer_table.rs
+++ b/lib/src/runs/peer_table.rs
@@ -14,6 +14,7 @@
 use super::run_id::PeerKey;
 use crate::event::PeerIdentity;
 use crate::id::Incarnation;
+use crate::scaling::percent_of;
 use crate::time::Timestamp;
 
 /// How long after its last fresh message an instance counts as unreachable: four heartbeats.
@@ -31,6 +32,9 @@
 /// The maximum age of a clock reading that messages are dated by: clocks of machines drift apart.
 const MAX_CLOCK_AGE: Duration = Duration::from_secs(10);
 
+/// The most that a clock may gain on another one, in percent.
+pub(crate) const MAX_CLOCK_DRIFT_PERCENT: u32 = 3;
+
 /// How long an instance is remembered after it has vanished from the roster.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -124,6 +128,12 @@
         self.clock_estimate(now).filter(|_| is_recent)
     }
 
+    /// How much its clock may differ from [`Self::clock_estimate`] because the two drift apart.
+    pub(crate) fn clock_error(&self, now: Timestamp) -> Duration {
+        let since = self.clock.map(|(_, at)| now.since(at));
+        percent_of(since.unwrap_or_default(), MAX_CLOCK_DRIFT_PERCENT)
+    }
+
     /// Its load of a service; `None` when it is leaving or unreachable or does not serve it.
     pub(crate) fn load(&self, now: Timestamp, service: &str) -> Option<&RunLoad> {
         if self.is_leaving || self.digest.leaving || !self.is_reachable(now) {
--- a/lib/src/runs/requester_contacts.rs
+++ b/lib/src/runs/requester_contacts.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use super::peer_table::MAX_CLOCK_DRIFT_PERCENT;
 use super::peer_table::PEER_TIMEOUT;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
@@ -22,9 +23,6 @@
 /// How long an upstream takes to stop a run.
 const MAX_STOP_TIME: Duration = Duration::from_millis(50);
 
-/// The most that a clock may gain on another one, in percent.
-const MAX_CLOCK_DRIFT_PERCENT: u32 = 3;
-
 /// An instance that delegates a job vouches for its caller, and the job's home vouches for the job at
 /// the owners of its tasks. The runs of a caller that has left must have ended when it comes back.
 const _: () = {
--- a/lib/src/runs/requester_watch.rs
+++ b/lib/src/runs/requester_watch.rs
@@ -3,15 +3,24 @@
 use super::run_dispatcher::DispatcherTimer;
 use super::run_dispatcher::RunDispatcher;
 use crate::id::Incarnation;
+use crate::time::Timestamp;
 
 impl RunDispatcher {
-    /// Plans a check of the requesters unless one is planned: something was requested here.
-    pub(crate) fn watch_requesters(&mut self) {
-        if self.requesters_checked_at.is_none() {
-            self.plan_requester_check();
+    /// Plans a check for the time at which a requester may be due, unless an earlier one is planned.
+    pub(crate) fn watch_requester(&mut self, requester: Incarnation) {
+        let Some(due) = self.owner.requesters.expires_at(requester) else {
+            return;
+        };
+        if self.requesters_checked_at.is_none_or(|at| due < at) {
+            self.plan_check_at(due);
         }
     }
 
+    fn plan_check_at(&mut self, due: Timestamp) {
+        self.requesters_checked_at = Some(due);
+        self.timers.subscribe(due, DispatcherTimer::RequesterCheck);
+    }
+
     /// Drops what requesters have here of which too little is known by now.
     pub(crate) fn check_requesters(&mut self) {
         self.requesters_checked_at = None;
@@ -31,11 +40,9 @@
         let contacts = &self.owner.requesters;
         let requesters = self.requesters().into_iter();
         let due = requesters.filter_map(|requester| contacts.expires_at(requester));
-        let Some(due) = due.min() else {
-            return;
-        };
-        self.requesters_checked_at = Some(due);
-        self.timers.subscribe(due, DispatcherTimer::RequesterCheck);
+        if let Some(due) = due.min() {
+            self.plan_check_at(due);
+        }
     }
 
     /// The other instances for which tasks or delegated jobs are held.
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -15,7 +15,6 @@
 use super::delegation::message::DelegationOutcome;
 use super::delegation::report::DelegationReport;
 use super::evacuation::EvacuatedDataCentres;
-use super::input_horizon::MAX_INPUT_AGE;
 use super::listing_relay::ListingUpdate;
 use super::resources::Resources;
 use super::run_digest::RunDigest;
@@ -34,6 +33,8 @@
     /// The sender's estimate of the receiver's clock: the last reading that it received, plus the
     /// time since then. `None` when it has received none.
     pub echo: Option<Timestamp>,
+    /// How long before it was sent the sender had read all that had reached it, at most.
+    pub input_age: Duration,
     /// The message.
     pub message: RunMessage,
 }
@@ -152,13 +153,11 @@
         )
     }
 
-    /// How old the inputs of the sender may have been at most when it sent the message, if the message
-    /// shows that the sender wants what it has requested; an outdated report is not read.
-    pub(crate) fn sender_input_age(&self, is_fresh: bool) -> Option<Duration> {
+    /// Whether it shows that the sender still wants what it has requested; an outdated report is not read.
+    pub(crate) fn shows_requests(&self, is_fresh: bool) -> bool {
         match self {
-            RunMessage::Report(report) => is_fresh.then_some(report.input_age),
-            request if request.is_request() => Some(MAX_INPUT_AGE),
-            _ => None,
+            RunMessage::Report(_) => is_fresh,
+            other => other.is_request(),
         }
     }
 }
@@ -353,6 +352,4 @@
     pub highest_sent: u64,
     /// The delegated jobs between sender and receiver.
     pub delegation: DelegationReport,
-    /// How long before it was sent the sender had read all that had reached it.
-    pub input_age: Duration,
 }
--- a/lib/tests/claimed_runs.rs
+++ b/lib/tests/claimed_runs.rs
@@ -187,6 +187,7 @@
             receiver: OWNER.1,
             sent_at: self.now,
             echo: Some(self.now),
+            input_age: Duration::ZERO,
             message,
         });
         let actions = self.handle(RunEvent::PeerMessage { sender, message });
--- a/lib/tests/delegation_codec.rs
+++ b/lib/tests/delegation_codec.rs
@@ -88,6 +88,5 @@
             open: vec![8, 9],
             highest_sent: 10,
         },
-        input_age: Duration::from_micros(11),
     }));
 }
--- a/lib/tests/delegation_hops.rs
+++ b/lib/tests/delegation_hops.rs
@@ -61,6 +61,7 @@
             receiver: Incarnation(1),
             sent_at: NOW,
             echo: Some(NOW),
+            input_age: Duration::ZERO,
             message,
         }),
     }
--- a/lib/tests/evacuation_codec.rs
+++ b/lib/tests/evacuation_codec.rs
@@ -1,7 +1,6 @@
 //! The wire form of messages about evacuated data centres.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use almondhead_lib::runs::delegation::report::DelegationReport;
 use almondhead_lib::runs::evacuation::EvacuatedDataCentres;
@@ -28,6 +27,5 @@
         open: vec![3],
         highest_sent: 4,
         delegation: DelegationReport::default(),
-        input_age: Duration::ZERO,
     }));
 }
--- a/lib/tests/resent_messages.rs
+++ b/lib/tests/resent_messages.rs
@@ -70,6 +70,7 @@
         receiver,
         sent_at: Timestamp::ZERO,
         echo: None,
+        input_age: Duration::ZERO,
         message: RunMessage::Cancel { batches: vec![1] },
     };
     let event = RunEvent::PeerNotSent {
--- a/lib/testsupport/src/round_trip.rs
+++ b/lib/testsupport/src/round_trip.rs
@@ -1,6 +1,7 @@
 //! The way of a message between instances, from sealing to opening.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondhead_lib::event::PeerIdentity;
 use almondhead_lib::id::Incarnation;
@@ -48,6 +49,7 @@
             receiver: Incarnation(9),
             sent_at: Timestamp::from_us(5),
             echo,
+            input_age: Duration::from_millis(11),
             message,
         })),
     }
