runs: report known ends before the tasks of a silent home are dropped

An owner that drops the batches of a home that it has not heard of forgot the ends that it had not reported yet, although the upstreams had been told to forget them too; the home ran the tasks again. No rule is broken by it for jobs that are not kept.

Not shown by a test; all tests of almondhead-lib pass.

--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -219,10 +219,24 @@
         for batch_key in keys {
             let batch = &self.batches[batch_key];
             tracing::warn!(job = %batch.job, %home, "batch dropped: its home is unreachable");
+            self.report_known_ends(batch_key);
             self.drop_batch(now, batch_key);
         }
     }
 
+    /// Reports the ends that its home was not notified of yet: the upstreams do not keep them.
+    fn report_known_ends(&mut self, batch_key: HeldBatchKey) {
+        let batch = &mut self.batches[batch_key];
+        if batch.unreported.is_empty() {
+            return;
+        }
+        self.notices.push(OwnerNotice::Ends {
+            home: batch.home,
+            batch: batch.number,
+            ends: std::mem::take(&mut batch.unreported),
+        });
+    }
+
     /// Stops the runs of a home, which learns that they are lost; its queued tasks wait on.
     pub(crate) fn stop_runs_of(&mut self, now: Timestamp, home: Incarnation) {
         let batches = &self.batches;
