runs: ignore the timer of a requester check that an earlier one has replaced

Each check plans the next one. A check that was planned anew for an earlier time left its first timer behind, which planned one more at its end, so that checks became more with each requester that was due early.

--- a/lib/src/runs/requester_watch.rs
+++ b/lib/src/runs/requester_watch.rs
@@ -23,6 +23,10 @@
 
     /// Drops what requesters have here of which too little is known by now.
     pub(crate) fn check_requesters(&mut self) {
+        // The timer of a check that an earlier one has replaced.
+        if self.requesters_checked_at.is_none_or(|at| at > self.now) {
+            return;
+        }
         self.requesters_checked_at = None;
         for requester in self.requesters() {
             if self.owner.requesters.is_current(self.now, requester) {
