--- a/review/site_2.py
+++ b/review/site_2.py
@@ -601,6 +601,12 @@
 def play(script, case):
     """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     site = Site(os.path.dirname(os.path.abspath(script)))
+
+    def out_of_time(*_):
+        raise Unfit("out of time")
+
+    # run.sh ends a script that takes too long; its processes are ended below.
+    signal.signal(signal.SIGTERM, out_of_time)
     try:
         site.record.say(f"TROUBLE={'1' if TROUBLE else '0'}")
         code = case(site)
