--- a/review/6/case.py
+++ b/review/6/case.py
@@ -27,12 +27,17 @@
     # Only the third instance owns a worker of kind "b": who owns which follows from the names alone.
     site.add_workers(12, kinds={"w-01": "b"})
     site.put_config()
-    dying, second, third, _ = [site.add_instance(f"front-{number}", 0.25) for number in range(1, 5)]
+    dying, second, third, fourth = [site.add_instance(f"front-{number}", 0.25) for number in range(1, 5)]
     for instance in site.instances:
         instance.wait_until_ready()
     time.sleep(4)
     path = f"{site.prefix}00000000c0ffee01"
     request = site_2.Request(site, dying, "POST", path, job(), 60_000)
+    # Two other clients, who stay: one of three leaves.
+    for number, instance in enumerate([third, fourth]):
+        site_2.Request(
+            site, instance, "POST", f"{site.prefix}{0xBEEF00 + number:016x}", site_2.job(60_000, 1_000), 90_000
+        )
     if site_2.TROUBLE:
         time.sleep(7.4)
         # The machine loses power for some seconds.
