runs: cancel at its owner what a home no longer has placed there

Cause: an end that another owner finds ends a task that is done, whichever attempt ran it. The task's own run has no purpose then, but the home closed its batch without telling the owner. Other owners learn from the next heartbeat that a batch is not open; no heartbeat goes to oneself, so that the home's own owner renewed the lease for as long as the run lasted, and started the task seconds later if it was still queued. The job's end cancelled only batches with a placed task. Where a batch had other tasks left, nobody was told at all.

Change: an open batch knows the tasks whose ends its owner has not reported. Home::release_batches alone closes batches at reachable owners; what is neither reported nor placed any more is cancelled there, a whole batch or single tasks of it, at own and other owners alike. An owner thus holds a task only while its home has it placed there, or could not tell it otherwise. Debug builds check that for the own owner at each event. Cancel has a new field for single tasks.

--- a/lib/src/peer_codec.rs
+++ b/lib/src/peer_codec.rs
@@ -5,6 +5,7 @@
 
 mod address;
 mod batch;
+mod cancellation;
 mod crash;
 mod delegation;
 mod evacuation;
--- a/lib/src/peer_codec/run.rs
+++ b/lib/src/peer_codec/run.rs
@@ -79,7 +79,7 @@
             ends: ends.ends.into_iter().map(Into::into).collect(),
             digest: Some(ends.digest.into()),
         }),
-        RunMessage::Cancel { batches } => Kind::Cancel(proto::CancelRuns { batches }),
+        RunMessage::Cancel(cancellation) => Kind::Cancel(cancellation.into()),
         RunMessage::Found {
             upstream,
             fence,
@@ -142,9 +142,7 @@
             ends: decode_list("ends.ends", ends.ends, MAX_TASKS)?,
             digest: required("ends.digest", ends.digest)?.try_into()?,
         }),
-        Kind::Cancel(cancel) => RunMessage::Cancel {
-            batches: bounded("cancel.batches", cancel.batches, MAX_BATCHES_PER_CANCEL)?,
-        },
+        Kind::Cancel(cancel) => RunMessage::Cancel(cancel.try_into()?),
         Kind::Found(found) => RunMessage::Found {
             upstream: name("found.upstream", found.upstream)?,
             fence: found.fence,
--- a/lib/src/peer_proto.rs
+++ b/lib/src/peer_proto.rs
@@ -784,11 +784,27 @@
     pub upstream: ::prost::alloc::string::String,
 }
 /// Stop what is left of some batches.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CancelRuns {
     /// The batches.
     #[prost(uint64, repeated, tag = "1")]
     pub batches: ::prost::alloc::vec::Vec<u64>,
+    /// Single tasks of other batches.
+    #[prost(message, repeated, tag = "2")]
+    pub tasks: ::prost::alloc::vec::Vec<CancelledTask>,
+}
+/// A task of a batch that goes on without it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CancelledTask {
+    /// The batch.
+    #[prost(uint64, tag = "1")]
+    pub batch: u64,
+    /// The step of the task, from zero.
+    #[prost(uint32, tag = "2")]
+    pub step: u32,
+    /// Its index in the step, from zero.
+    #[prost(uint32, tag = "3")]
+    pub index: u32,
 }
 /// Runs found on an upstream that the sender has taken over.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -92,7 +92,7 @@
                 self.record_digest(peer, ends.digest);
                 self.home.handle_ends(now, owner, ends.batch, ends.ends);
             }
-            RunMessage::Cancel { batches } => self.owner.cancel(now, home, &batches),
+            RunMessage::Cancel(cancellation) => self.owner.cancel(now, home, &cancellation),
             RunMessage::Found {
                 upstream,
                 fence,
--- a/lib/src/runs/dispatcher_outputs.rs
+++ b/lib/src/runs/dispatcher_outputs.rs
@@ -33,9 +33,26 @@
                 self.handle_owner_notice(notice);
             }
         }
+        debug_assert!(
+            self.has_no_released_run(),
+            "an own upstream runs a task that its home here no longer has placed there"
+        );
         self.actions.append(&mut self.owner.actions);
     }
 
+    /// Whether the home has placed all that this instance holds for itself: no heartbeat tells an instance
+    /// which of its own batches are open.
+    fn has_no_released_run(&self) -> bool {
+        let own = self.settings.incarnation;
+        let held = self.owner.by_number.iter();
+        let mut held = held.filter(|((home, _), _)| *home == own);
+        held.all(|((_, number), batch_key)| {
+            let open = self.home.batches.get(&(OwnerRef::Own, *number));
+            let open_tasks = self.owner.batches[*batch_key].open_tasks;
+            open.is_some_and(|open| open.task_count() >= open_tasks)
+        })
+    }
+
     fn carry_out_home_output(&mut self, output: HomeOutput) {
         let now = self.now;
         let own = self.settings.incarnation;
@@ -55,9 +72,12 @@
                 OwnerRef::Peer(_) if !self.inputs.is_current(now) => {}
                 OwnerRef::Peer(peer) => self.send(peer, RunMessage::Adopt { upstream, batch }),
             },
-            HomeOutput::Cancel { owner, batches } => match owner {
-                OwnerRef::Own => self.owner.cancel(now, own, &batches),
-                OwnerRef::Peer(peer) => self.send(peer, RunMessage::Cancel { batches }),
+            HomeOutput::Cancel {
+                owner,
+                cancellation,
+            } => match owner {
+                OwnerRef::Own => self.owner.cancel(now, own, &cancellation),
+                OwnerRef::Peer(peer) => self.send(peer, RunMessage::Cancel(cancellation)),
             },
         }
     }
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -14,6 +14,7 @@
 use super::home_task::HomeTask;
 use super::intended_state::JobQueueSettings;
 use super::job_spec::JobSpec;
+use super::open_batch::OpenBatch;
 use super::owner_choice::OwnerRef;
 use super::run_answer::JobEnd;
 use super::run_answer::NotRun;
@@ -22,6 +23,7 @@
 use super::run_id::HomeJobKey;
 use super::run_id::JobId;
 use super::run_id::RunId;
+use super::run_message::Cancellation;
 use super::run_message::RunBatch;
 use super::whole_ms::whole_ms;
 use crate::id::RequestId;
@@ -65,16 +67,6 @@
     ForgetAnswer(JobId),
 }
 
-/// A batch that was sent to an owner and has tasks that have not ended.
-#[derive(Debug)]
-pub(crate) struct OpenBatch {
-    pub(crate) job: HomeJobKey,
-    /// The time of the owner's clock that the message named; none if it named none, and at an own owner.
-    pub(crate) echo: Option<Timestamp>,
-    /// Whether the owner adopts runs that another owner started.
-    pub(crate) is_adoption: bool,
-}
-
 /// An action that the home asks its dispatcher to perform.
 #[derive(Debug)]
 pub(crate) enum HomeOutput {
@@ -91,8 +83,11 @@
         upstream: Arc<str>,
         batch: RunBatch,
     },
-    /// Ask an owner to stop what is left of batches, named by their numbers.
-    Cancel { owner: OwnerRef, batches: Vec<u64> },
+    /// Ask an owner to stop what is left of batches or of single tasks.
+    Cancel {
+        owner: OwnerRef,
+        cancellation: Cancellation,
+    },
 }
 
 /// The jobs whose home is this instance, with their requests, placed batches and timers.
@@ -277,21 +272,6 @@
         self.is_dirty = true;
     }
 
-    /// Removes the batches of a job that no longer have a placed task.
-    pub(crate) fn close_empty_batches(&mut self, key: HomeJobKey) {
-        let job = self.jobs.get(key);
-        self.batches.retain(|(owner, number), batch| {
-            batch.job != key
-                || job.is_some_and(|job| {
-                    let placed = HomeState::Placed {
-                        owner: *owner,
-                        batch: *number,
-                    };
-                    job.tasks.iter().any(|task| task.state == placed)
-                })
-        });
-    }
-
     /// Marks tasks as placed at an owner and returns the batch to send to it.
     pub(crate) fn create_batch(
         &mut self,
@@ -301,14 +281,8 @@
         tasks: &[usize],
     ) -> RunBatch {
         let number = self.next_batch_number();
-        self.batches.insert(
-            (owner, number),
-            OpenBatch {
-                job: key,
-                echo: None,
-                is_adoption: false,
-            },
-        );
+        let open = OpenBatch::new(key, tasks.to_vec());
+        self.batches.insert((owner, number), open);
         let job = &mut self.jobs[key];
         job.placements += u32::try_from(tasks.len()).unwrap_or(u32::MAX);
         for task in tasks {
--- a/lib/src/runs/home_answers.rs
+++ b/lib/src/runs/home_answers.rs
@@ -13,7 +13,6 @@
 use super::home_job::Unfinished;
 use super::home_task::HomeState;
 use super::overload::return_spread::return_spread;
-use super::owner_choice::OwnerRef;
 use super::run_answer::GivenUp;
 use super::run_answer::JobEnd;
 use super::run_answer::JobProgress;
@@ -109,31 +108,14 @@
         }
     }
 
-    /// Removes a job and cancels its open batches.
+    /// Removes a job and cancels what owners hold of it.
     fn remove(&mut self, key: HomeJobKey) -> Option<HomeJob> {
         let job = self.jobs.remove(key)?;
         self.by_id.swap_remove(&job.id);
         for request in &job.waiters {
             self.requests.swap_remove(request);
         }
-        let job_batches = self.batches.extract_if(.., |_, batch| batch.job == key);
-        let mut cancels: IndexMap<OwnerRef, Vec<u64>> = IndexMap::new();
-        for ((owner, number), _) in job_batches {
-            cancels.entry(owner).or_default().push(number);
-        }
-        let is_open = |owner: OwnerRef, number: u64| {
-            let placed = HomeState::Placed {
-                owner,
-                batch: number,
-            };
-            job.tasks.iter().any(|task| task.state == placed)
-        };
-        for (owner, mut batches) in cancels {
-            batches.retain(|number| is_open(owner, *number));
-            if !batches.is_empty() {
-                self.outputs.push(HomeOutput::Cancel { owner, batches });
-            }
-        }
+        self.release_batches(key);
         Some(job)
     }
 
--- a/lib/src/runs/home_ends.rs
+++ b/lib/src/runs/home_ends.rs
@@ -56,6 +56,9 @@
             if is_orphaned {
                 state.on_owner_reachable(owner);
             }
+            if let Some(open) = self.batches.get_mut(&(owner, batch)) {
+                open.record_end(task);
+            }
             if is_orphaned || state.state == placed {
                 self.end_task(now, key, task, end);
             }
@@ -76,7 +79,7 @@
                 "end of run ignored: an unreachable owner may still run the task"
             );
             self.set_orphaned(now, key, task, since, None);
-            return self.close_empty_batches(key);
+            return self.release_batches(key);
         }
         match &end {
             RunEnd::Done { .. } => tracing::debug!(job = %job.id, run = %run, "task done"),
@@ -102,7 +105,7 @@
         }
         // Where a step bounds its tasks per upstream, the next one may now be placed.
         self.is_dirty |= self.jobs.get(key).is_some_and(HomeJob::is_waiting);
-        self.close_empty_batches(key);
+        self.release_batches(key);
     }
 
     fn task_done(&mut self, now: Timestamp, key: HomeJobKey, task: usize, work: Duration) {
--- a/lib/src/runs/home_orphans.rs
+++ b/lib/src/runs/home_orphans.rs
@@ -8,10 +8,10 @@
 use super::home::HomeOutput;
 use super::home::HomeTimer;
 use super::home::ORPHAN_CLAIM_TIMEOUT;
-use super::home::OpenBatch;
 use super::home_job::Unfinished;
 use super::home_task::HomeState;
 use super::home_task::MAX_RUN_AFTER_CONTACT;
+use super::open_batch::OpenBatch;
 use super::owner_choice::OwnerRef;
 use super::peer_table::MAX_MESSAGE_AGE;
 use super::run_answer::GivenUp;
@@ -226,7 +226,7 @@
         let run = self.jobs[key].run(task);
         tracing::info!(job = %run.task.job, run = %run, upstream = %upstream, owner = self.owner_name(owner), "run claimed");
         let batch = self.create_batch(now, key, owner, &[task]);
-        self.close_empty_batches(key);
+        self.release_batches(key);
         if let Some(open) = self.batches.get_mut(&(owner, batch.number)) {
             open.is_adoption = true;
         }
@@ -324,13 +324,12 @@
                 if is_held {
                     job.tasks[task].on_owner_reachable(owner);
                     job.tasks[task].state = HomeState::Placed { owner, batch };
-                    let open = OpenBatch {
-                        job: key,
-                        // Heartbeats sent before this one may not name the batch yet.
-                        echo: Some(sent_at),
-                        is_adoption: false,
-                    };
-                    self.batches.insert((owner, batch), open);
+                    let reopened = || OpenBatch::new(key, Vec::new());
+                    let open = self.batches.entry((owner, batch));
+                    let open = open.or_insert_with(reopened);
+                    // Heartbeats sent before this one may not name the batch yet.
+                    open.echo = Some(sent_at);
+                    open.add(task);
                 } else if batch <= highest_taken {
                     self.retry_ended(now, key, task);
                 }
--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -18,8 +18,11 @@
 use super::run_id::LeasedUpstreamKey;
 use super::run_id::OrderId;
 use super::run_id::RunId;
+use super::run_message::Cancellation;
+use super::run_message::CancelledTask;
 use super::run_message::EndedRun;
 use super::run_message::NotStarted;
+use super::run_message::PlacedTask;
 use super::run_message::RunBatch;
 use super::run_message::RunEnd;
 use super::run_order::RunOutcome;
@@ -184,13 +187,59 @@
         })
     }
 
-    /// Drops batches that their home has cancelled, and stops their runs.
-    pub(crate) fn cancel(&mut self, now: Timestamp, home: Incarnation, numbers: &[u64]) {
-        for number in numbers {
+    /// Drops batches and single tasks that their home has cancelled, and stops their runs.
+    pub(crate) fn cancel(
+        &mut self,
+        now: Timestamp,
+        home: Incarnation,
+        cancellation: &Cancellation,
+    ) {
+        for number in &cancellation.batches {
             if let Some(batch_key) = self.by_number.get(&(home, *number)).copied() {
                 self.drop_batch(now, batch_key);
             }
         }
+        for task in &cancellation.tasks {
+            if let Some(batch_key) = self.by_number.get(&(home, task.batch)).copied() {
+                self.drop_task(now, batch_key, task);
+            }
+        }
+    }
+
+    /// Drops one task of a batch; its home is not notified of its end.
+    fn drop_task(&mut self, now: Timestamp, batch_key: HeldBatchKey, cancelled: &CancelledTask) {
+        let batch = &self.batches[batch_key];
+        let task = batch.tasks.iter().position(|task| {
+            let PlacedTask { step, index, .. } = task.placed;
+            (step, index) == (cancelled.step, cancelled.index)
+        });
+        let Some(task) = task else {
+            return;
+        };
+        let name = (batch.home, batch.number);
+        let (state, run) = (batch.tasks[task].state, batch.run(task));
+        if let HeldState::Running(upstream_key) = state {
+            self.stop_dropped(now, upstream_key, run, name);
+        }
+        self.queue.retain(|queued| *queued != (batch_key, task));
+        self.end_task(batch_key, task, None);
+        self.is_dirty = true;
+    }
+
+    /// Stops a run of a dropped batch or task; the batch, by home and number, counts as held until the run
+    /// has ended.
+    fn stop_dropped(
+        &mut self,
+        now: Timestamp,
+        upstream_key: LeasedUpstreamKey,
+        run: RunId,
+        batch: (Incarnation, u64),
+    ) {
+        let upstream = self.upstreams.get_mut(upstream_key);
+        if let Some(leased) = upstream.and_then(|upstream| upstream.runs.get_mut(&run)) {
+            leased.dropped_batch = Some(batch);
+        }
+        self.stop(now, upstream_key, run, StopReason::Cancelled);
     }
 
     /// Drops the batches of a home up to `highest_sent` that the home does not list as open.
@@ -264,12 +313,8 @@
             let HeldState::Running(upstream_key) = batch.tasks[task].state else {
                 continue;
             };
-            let run = batch.run(task);
-            let upstream = self.upstreams.get_mut(upstream_key);
-            if let Some(leased) = upstream.and_then(|upstream| upstream.runs.get_mut(&run)) {
-                leased.dropped_batch = Some((batch.home, batch.number));
-            }
-            self.stop(now, upstream_key, run, StopReason::Cancelled);
+            let name = (batch.home, batch.number);
+            self.stop_dropped(now, upstream_key, batch.run(task), name);
         }
         self.queue.retain(|(queued, _)| *queued != batch_key);
         self.is_dirty = true;
@@ -331,6 +376,11 @@
     /// Records how a task ended. Notifies its home at once of the batch's last end and of any end but
     /// done; other ends go with the next notice.
     pub(crate) fn report(&mut self, batch_key: HeldBatchKey, task: TaskIndex, end: RunEnd) {
+        self.end_task(batch_key, task, Some(end));
+    }
+
+    /// Ends a task of a batch; `end` is none if its home is not to be notified of it.
+    fn end_task(&mut self, batch_key: HeldBatchKey, task: TaskIndex, end: Option<RunEnd>) {
         let Some(batch) = self.batches.get_mut(batch_key) else {
             return;
         };
@@ -339,10 +389,11 @@
         }
         batch.tasks[task].state = HeldState::Ended;
         batch.open_tasks -= 1;
-        let is_urgent = batch.open_tasks == 0 || !matches!(end, RunEnd::Done { .. });
+        let is_urgent = batch.open_tasks == 0 || !matches!(end, None | Some(RunEnd::Done { .. }));
         let run = batch.run(task);
-        batch.unreported.push(EndedRun { run, end });
-        if is_urgent {
+        let ended = end.map(|end| EndedRun { run, end });
+        batch.unreported.extend(ended);
+        if is_urgent && !batch.unreported.is_empty() {
             self.notices.push(OwnerNotice::Ends {
                 home: batch.home,
                 batch: batch.number,
@@ -367,6 +418,10 @@
         let Some(batch) = self.batches.get_mut(batch_key) else {
             return;
         };
+        // Its home may have cancelled it while its start was in flight.
+        if batch.tasks[task].state == HeldState::Ended {
+            return;
+        }
         batch.tasks[task].state = HeldState::Queued;
         batch.tasks[task].placed.avoid.extend(avoid);
         if self.is_leaving {
--- a/lib/src/runs/run_message.rs
+++ b/lib/src/runs/run_message.rs
@@ -39,6 +39,27 @@
     pub message: RunMessage,
 }
 
+/// Tasks that their home no longer wants of an owner.
+#[value]
+#[derive(Default)]
+pub struct Cancellation {
+    /// The numbers of batches, of which nothing is wanted any more.
+    pub batches: Vec<u64>,
+    /// Single tasks of batches that go on without them.
+    pub tasks: Vec<CancelledTask>,
+}
+
+/// A task of a batch that goes on without it.
+#[value]
+pub struct CancelledTask {
+    /// The number of the batch.
+    pub batch: u64,
+    /// The step, from zero.
+    pub step: u32,
+    /// The task's index in its step, from zero.
+    pub index: u32,
+}
+
 /// A message about leased runs. Its `Display` form, for logs, says what it is about.
 #[value]
 #[derive(derive_more::Display)]
@@ -57,12 +78,9 @@
     /// How tasks of a batch ended.
     #[display("{} ends of batch {}", _0.ends.len(), _0.batch)]
     Ends(RunEnds),
-    /// Stop the open tasks of these batches, which the sender placed.
-    #[display("{} batches cancelled", batches.len())]
-    Cancel {
-        /// The numbers of the batches.
-        batches: Vec<u64>,
-    },
+    /// Stop the open tasks of these batches, which the sender placed, and single tasks of others.
+    #[display("{} batches and {} tasks cancelled", _0.batches.len(), _0.tasks.len())]
+    Cancel(Cancellation),
     /// The sender has taken over an upstream and found runs there that it did not start; their
     /// homes may claim them.
     #[display("{} runs and {} ends found on {upstream}", running.len(), ended.len())]
--- a/lib/tests/claimed_runs.rs
+++ b/lib/tests/claimed_runs.rs
@@ -21,6 +21,7 @@
 use almondhead_lib::runs::run_id::JobId;
 use almondhead_lib::runs::run_id::RunId;
 use almondhead_lib::runs::run_id::TaskName;
+use almondhead_lib::runs::run_message::Cancellation;
 use almondhead_lib::runs::run_message::PlacedTask;
 use almondhead_lib::runs::run_message::RunBatch;
 use almondhead_lib::runs::run_message::RunEnd;
@@ -256,7 +257,10 @@
 fn claimed_run_that_is_being_stopped_is_not_lost_yet() {
     let mut owner = Owner::with_found_run();
     assert_eq!(owner.receive_claim(HOME, 1), []);
-    let cancel = RunMessage::Cancel { batches: vec![1] };
+    let cancel = RunMessage::Cancel(Cancellation {
+        batches: vec![1],
+        tasks: Vec::new(),
+    });
     assert_eq!(owner.receive(HOME, cancel), []);
     assert_eq!(owner.receive_claim(HOME, 2), [taken_over()]);
 }
--- a/lib/tests/resent_messages.rs
+++ b/lib/tests/resent_messages.rs
@@ -12,6 +12,7 @@
 use almondhead_lib::runs::run_action::RunAction;
 use almondhead_lib::runs::run_dispatcher::IntendedDecoder;
 use almondhead_lib::runs::run_dispatcher::RunDispatcher;
+use almondhead_lib::runs::run_message::Cancellation;
 use almondhead_lib::runs::run_message::RunMessage;
 use almondhead_lib::runs::run_message::TimedRunMessage;
 use almondhead_lib::runs::run_settings::RunLimits;
@@ -71,7 +72,10 @@
         sent_at: Timestamp::ZERO,
         echo: None,
         input_age: Duration::ZERO,
-        message: RunMessage::Cancel { batches: vec![1] },
+        message: RunMessage::Cancel(Cancellation {
+            batches: vec![1],
+            tasks: Vec::new(),
+        }),
     };
     let event = RunEvent::PeerNotSent {
         instance: Arc::from(PEER),
@@ -85,7 +89,7 @@
         RunAction::SendPeer { message, .. } => Some(*message),
         _ => None,
     });
-    let cancels = sent.filter(|sent| matches!(sent.message, RunMessage::Cancel { .. }));
+    let cancels = sent.filter(|sent| matches!(sent.message, RunMessage::Cancel(_)));
     cancels.map(|sent| sent.receiver).collect()
 }
 
