runs: date an orphaned run by the latest contact with any of its owners

What callers saw: an instance crashed, was started again, went on with its runs, and was stopped as planned.

Cause: the home kept the contact with the crashed process beside the claim by which the second process had the run since. It took the report of the hand-over for an end, which it ignores while a former owner may run the task, counted from the crash when the run must have ended, and did not look at what the next owner had found. An older fact outlived a newer one.

Change: HomeTask::orphan alone dates an orphaned run, by the latest contact with any owner that may hold a lease on it; a hand-over is one. Contacts are kept for each owner and process. A finding is kept by run and upstream, so that an end of an earlier attempt does not replace it. A claimed run that its finder does not hold may go on, also where the finder was unreachable in between. So 1,930 ms, unchanged, bound the latest lease and not the first.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -78,6 +78,7 @@
 pub mod run_status;
 mod step_constraints;
 mod step_mean;
+mod unreachable_owners;
 pub mod upstream_choice;
 pub mod upstream_clock;
 mod upstream_listing;
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -108,8 +108,9 @@
     last_batch_number: u64,
     /// Run time estimates by queue name.
     pub(crate) estimates: IndexMap<Arc<str>, RunEstimate>,
-    /// Runs that another owner found while they were still placed at their former owner.
-    pub(crate) found: IndexMap<RunId, FoundRun>,
+    /// Runs that another owner found while they were still placed at their former owner, by upstream: runs of
+    /// earlier attempts have the same names elsewhere.
+    pub(crate) found: IndexMap<(RunId, Arc<str>), FoundRun>,
     pub(crate) timers: TimerService<HomeTimer>,
     pub(crate) outputs: Vec<HomeOutput>,
     pub(crate) counts: RunCounts,
--- a/lib/src/runs/home_answers.rs
+++ b/lib/src/runs/home_answers.rs
@@ -112,6 +112,7 @@
     fn remove(&mut self, key: HomeJobKey) -> Option<HomeJob> {
         let job = self.jobs.remove(key)?;
         self.by_id.swap_remove(&job.id);
+        self.found.retain(|(run, _), _| run.task.job != job.id);
         for request in &job.waiters {
             self.requests.swap_remove(request);
         }
--- a/lib/src/runs/home_ends.rs
+++ b/lib/src/runs/home_ends.rs
@@ -54,7 +54,7 @@
             let placed = HomeState::Placed { owner, batch };
             let is_orphaned = matches!(state.state, HomeState::Orphaned { from, .. } if from == Some((owner, batch)));
             if is_orphaned {
-                state.on_owner_reachable(owner);
+                state.unreachable_owners.remove(owner);
             }
             if let Some(open) = self.batches.get_mut(&(owner, batch)) {
                 open.record_end(task);
@@ -67,17 +67,20 @@
 
     /// Applies the end of a task's run.
     ///
-    /// While an unreachable owner may still hold a lease on the run, only `Done` ends it.
+    /// While an unreachable owner may still hold a lease on the run, only `Done` ends it. A run that was
+    /// taken over has not ended: it counts as orphaned from now.
     pub(crate) fn end_task(&mut self, now: Timestamp, key: HomeJobKey, task: usize, end: RunEnd) {
         let job = &mut self.jobs[key];
         let run = job.run(task);
-        let unreachable_since = job.tasks[task].may_run_unreachable_since(now);
-        if let Some(since) = unreachable_since.filter(|_| !matches!(end, RunEnd::Done { .. })) {
+        let proves_nothing = !matches!(end, RunEnd::Done { .. } | RunEnd::TakenOver { .. });
+        let unreachable_since = job.tasks[task].unreachable_owners.may_run_since(now);
+        if let Some(since) = unreachable_since.filter(|_| proves_nothing) {
             // The run that ended may belong to an earlier attempt with the same numbers.
             tracing::warn!(
                 job = %job.id, run = %run, ?end,
                 "end of run ignored: an unreachable owner may still run the task"
             );
+            job.tasks[task].upstream = None;
             self.set_orphaned(now, key, task, since, None);
             return self.release_batches(key);
         }
--- a/lib/src/runs/home_orphans.rs
+++ b/lib/src/runs/home_orphans.rs
@@ -10,7 +10,6 @@
 use super::home::ORPHAN_CLAIM_TIMEOUT;
 use super::home_job::Unfinished;
 use super::home_task::HomeState;
-use super::home_task::MAX_RUN_AFTER_CONTACT;
 use super::open_batch::OpenBatch;
 use super::owner_choice::OwnerRef;
 use super::peer_table::MAX_MESSAGE_AGE;
@@ -19,25 +18,26 @@
 use super::run_id::RunId;
 use super::run_message::FoundEnd;
 use super::run_message::RunEnd;
+use super::unreachable_owners::MAX_RUN_AFTER_CONTACT;
 use super::whole_ms::whole_ms;
 use crate::time::Timestamp;
 
 impl Home {
     /// Marks a run as orphaned.
     ///
-    /// `since` and `from` are as in [`HomeState::Orphaned`].
+    /// `contact_at` and `from` are as in [`HomeTask::orphan`].
     pub(crate) fn set_orphaned(
         &mut self,
         now: Timestamp,
         key: HomeJobKey,
         task: usize,
-        since: Timestamp,
+        contact_at: Timestamp,
         from: Option<(OwnerRef, u64)>,
     ) {
         let job = &mut self.jobs[key];
+        let since = job.tasks[task].orphan(now, contact_at, from);
         let age_ms = whole_ms(now.since(since));
         tracing::info!(job = %job.id, run = %job.run(task), age_ms, ?from, "run orphaned");
-        job.tasks[task].state = HomeState::Orphaned { since, from };
         self.counts.orphaned += 1;
         let claimable_until = (since + CLAIMABLE_TIME).max(now);
         let due = claimable_until.min(now + ORPHAN_CLAIM_TIMEOUT);
@@ -105,7 +105,7 @@
             tracing::warn!(job = %job.id, owner = self.owner_name(owner), tasks = tasks.len(), "owner unreachable");
             self.jobs[key].may_have_run = true;
             for (task, batch) in tasks {
-                self.jobs[key].tasks[task].on_owner_unreachable(owner, last_contact_at);
+                self.jobs[key].tasks[task].on_owner_unreachable(now, owner, last_contact_at);
                 self.set_orphaned(now, key, task, last_contact_at, Some((owner, batch)));
             }
         }
@@ -119,9 +119,7 @@
     pub(crate) fn forget_owner_incarnation(&mut self, owner: OwnerRef) {
         let tasks = self.jobs.values_mut().flat_map(|job| &mut job.tasks);
         for task in tasks {
-            if let HomeState::Orphaned { from, .. } = &mut task.state {
-                from.take_if(|(at, _)| *at == owner);
-            }
+            task.forget_owner_incarnation(owner);
         }
     }
 
@@ -159,8 +157,9 @@
             return;
         };
         let state = &self.jobs[key].tasks[task];
-        let is_certainly_there = state.is_certainly_on(now, &found.upstream);
-        let may_be_there = state.taken_over_on.is_none() || is_certainly_there;
+        let certain_upstream = state.certain_upstream(now);
+        let is_certainly_there = certain_upstream.is_some_and(|at| *at == found.upstream);
+        let may_be_there = certain_upstream.is_none() || is_certainly_there;
         let placed_at = match state.state {
             HomeState::Placed { owner, .. } => Some(owner),
             _ => None,
@@ -180,7 +179,7 @@
                 self.move_task(now, key, task, found.owner, &found.upstream);
             }
             _ if placed_at.is_some_and(|owner| owner != found.owner) => {
-                self.found.insert(run, found);
+                self.found.insert((run, found.upstream.clone()), found);
             }
             _ => {}
         }
@@ -196,9 +195,9 @@
     ) {
         let run = self.jobs[key].run(task);
         self.set_orphaned(now, key, task, now, None);
-        let found = self.found.swap_remove(&run);
-        let found = found.filter(|found| found.is_recent(now) && found.upstream == upstream);
-        self.jobs[key].tasks[task].taken_over_on = Some(upstream);
+        let found = self.found.swap_remove(&(run, upstream.clone()));
+        let found = found.filter(|found| found.is_recent(now));
+        self.jobs[key].tasks[task].upstream = Some(upstream);
         if let Some(found) = found {
             self.handle_found_run(now, run, found);
         }
@@ -226,10 +225,8 @@
         let run = self.jobs[key].run(task);
         tracing::info!(job = %run.task.job, run = %run, upstream = %upstream, owner = self.owner_name(owner), "run claimed");
         let batch = self.create_batch(now, key, owner, &[task]);
+        self.jobs[key].tasks[task].claim(upstream.clone());
         self.release_batches(key);
-        if let Some(open) = self.batches.get_mut(&(owner, batch.number)) {
-            open.is_adoption = true;
-        }
         self.outputs.push(HomeOutput::Adopt {
             owner,
             upstream: upstream.clone(),
@@ -241,7 +238,7 @@
     /// `sent_at` on its clock.
     ///
     /// A batch that is not held, although the owner has accepted it or will start nothing of it, has ended
-    /// without a report: its tasks are retried, or orphaned where the batch was an adoption. The
+    /// without a report: its tasks are retried, or orphaned where their runs may go on elsewhere. The
     /// owner starts nothing of a batch more than [`MAX_MESSAGE_AGE`] after the time that its message names.
     pub(crate) fn reconcile_batches(
         &mut self,
@@ -259,10 +256,10 @@
                 .is_none_or(|echo| sent_at.since(echo) > MAX_MESSAGE_AGE);
             *at == owner && !held.contains(number) && (was_taken || was_lost)
         });
-        let missing: Vec<(u64, HomeJobKey, bool)> = missing
-            .map(|((_, number), batch)| (*number, batch.job, batch.is_adoption))
+        let missing: Vec<(u64, HomeJobKey)> = missing
+            .map(|((_, number), batch)| (*number, batch.job))
             .collect();
-        for (number, key, is_adoption) in missing {
+        for (number, key) in missing {
             self.batches.swap_remove(&(owner, number));
             let placed = HomeState::Placed {
                 owner,
@@ -275,15 +272,10 @@
                 };
                 tracing::warn!(
                     job = %job.id, run = %job.run(task), batch = number, highest_taken,
-                    owner = self.owner_name(owner), is_adoption,
+                    owner = self.owner_name(owner), is_adoption = job.tasks[task].is_claimed,
                     "owner does not hold the batch"
                 );
-                if is_adoption {
-                    // The owner never adopted the run, which may still go on.
-                    self.set_orphaned(now, key, task, now, None);
-                } else {
-                    self.retry_ended(now, key, task);
-                }
+                self.resolve_missing(now, key, task);
             }
         }
     }
@@ -291,7 +283,7 @@
     /// Resolves orphaned runs of an owner that is reachable again.
     ///
     /// Runs of batches that it still holds are placed there again; runs of batches that it has
-    /// accepted and no longer holds are retried.
+    /// accepted and no longer holds are retried, or stay orphaned where they may go on elsewhere.
     fn resolve_orphans(
         &mut self,
         now: Timestamp,
@@ -321,8 +313,10 @@
                     job = %job.id, run = %job.run(task), batch, highest_taken, is_held,
                     "owner of an orphaned run reachable again"
                 );
+                if is_held || batch <= highest_taken {
+                    job.tasks[task].unreachable_owners.remove(owner);
+                }
                 if is_held {
-                    job.tasks[task].on_owner_reachable(owner);
                     job.tasks[task].state = HomeState::Placed { owner, batch };
                     let reopened = || OpenBatch::new(key, Vec::new());
                     let open = self.batches.entry((owner, batch));
@@ -331,7 +325,7 @@
                     open.echo = Some(sent_at);
                     open.add(task);
                 } else if batch <= highest_taken {
-                    self.retry_ended(now, key, task);
+                    self.resolve_missing(now, key, task);
                 }
             }
         }
@@ -347,12 +341,17 @@
         wanted.map(|(task, _)| task).collect()
     }
 
-    /// Retries a task whose run has ended without a report.
-    fn retry_ended(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
-        if let Some(job) = self.jobs.get_mut(key) {
-            job.may_have_run = true;
-            self.counts.retried_not_held += 1;
-            self.retry_task(now, key, task);
+    /// Retries a task that its owner does not hold and has not reported, or orphans it where its run may go
+    /// on: the owner may never have adopted it, or an unreachable one may run it.
+    fn resolve_missing(&mut self, now: Timestamp, key: HomeJobKey, task: usize) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if let Some(contact_at) = job.tasks[task].may_run_elsewhere_since(now) {
+            return self.set_orphaned(now, key, task, contact_at, None);
         }
+        job.may_have_run = true;
+        self.counts.retried_not_held += 1;
+        self.retry_task(now, key, task);
     }
 }
--- a/lib/src/runs/home_task.rs
+++ b/lib/src/runs/home_task.rs
@@ -6,16 +6,9 @@
 use super::owner_choice::OwnerRef;
 use super::run_id::JobId;
 use super::run_id::TaskName;
+use super::unreachable_owners::UnreachableOwners;
 use crate::time::Timestamp;
 
-/// How long after the last contact with its owner a run can still go on.
-///
-/// When the connection between two instances fails, each notices the other's silence after 600 ms
-/// and up to one heartbeat of 150 ms; the last heartbeat may have arrived 150 ms later on the other
-/// side. If the owner is cut off from the upstream too, it renews the lease for the last time then.
-/// The lease lasts 1 s on a clock that may be 3 % slow.
-pub(crate) const MAX_RUN_AFTER_CONTACT: Duration = Duration::from_millis(1_930);
-
 /// A task of a job, with its current run and where it is placed.
 #[derive(Debug)]
 pub(crate) struct HomeTask {
@@ -33,10 +26,13 @@
     /// Whether nothing else may run on its upstream, because it may crash it.
     pub(crate) is_alone: bool,
     pub(crate) state: HomeState,
-    /// The upstream of its run, if its owner has reported that another one took the upstream over.
-    pub(crate) taken_over_on: Option<Arc<str>>,
-    /// The unreachable owner that may still run it.
-    pub(crate) unreachable_owner: Option<UnreachableOwner>,
+    /// The upstream of its run, where known: named by the last owner that handed the run over, or the one on
+    /// which the home has claimed the run since.
+    pub(crate) upstream: Option<Arc<str>>,
+    /// Whether its run was found by its owner, which may be unable to adopt it.
+    pub(crate) is_claimed: bool,
+    /// The unreachable owners that may still run it.
+    pub(crate) unreachable_owners: UnreachableOwners,
 }
 
 /// The placement of a task, as its home knows it.
@@ -55,7 +51,7 @@
     },
     /// Its run may go on, and no reachable owner reports it.
     Orphaned {
-        /// The last time at which an owner that may hold a lease on it was reachable.
+        /// The latest contact with any owner that may hold a lease on it.
         since: Timestamp,
         /// The unreachable owner and the batch's number, if a later report of that owner can still
         /// tell whether the run goes on.
@@ -68,15 +64,6 @@
     Done,
 }
 
-/// An owner that became unreachable while it held a run.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct UnreachableOwner {
-    /// The owner; none when there were several.
-    owner: Option<OwnerRef>,
-    /// The last contact with it, or the latest with any of several.
-    since: Timestamp,
-}
-
 impl HomeTask {
     /// A task that has not started, blocked until its step may start.
     pub(crate) fn new(step: u32, index: u32) -> Self {
@@ -90,8 +77,9 @@
             avoid: Vec::new(),
             is_alone: false,
             state: HomeState::Blocked,
-            taken_over_on: None,
-            unreachable_owner: None,
+            upstream: None,
+            is_claimed: false,
+            unreachable_owners: UnreachableOwners::default(),
         }
     }
 
@@ -105,43 +93,74 @@
         }
     }
 
-    /// Records that an owner that may go on with the run became unreachable; `since` is the last
-    /// contact with it.
-    pub(crate) fn on_owner_unreachable(&mut self, owner: OwnerRef, since: Timestamp) {
-        let earlier = self.unreachable_owner.take();
-        let is_other = earlier.is_some_and(|unreachable| unreachable.owner != Some(owner));
-        self.unreachable_owner = Some(UnreachableOwner {
-            owner: (!is_other).then_some(owner),
-            since: earlier.map_or(since, |unreachable| unreachable.since.max(since)),
-        });
-        self.taken_over_on = None;
+    /// Records that no reachable owner reports its run any more, which one with the last contact at
+    /// `contact_at` may go on with; `from` is as in [`HomeState::Orphaned`].
+    ///
+    /// The run counts from the latest contact with any owner that may hold a lease on it, which is returned:
+    /// neither does an old contact date a run that a later owner had, nor the other way round.
+    pub(crate) fn orphan(
+        &mut self,
+        now: Timestamp,
+        contact_at: Timestamp,
+        from: Option<(OwnerRef, u64)>,
+    ) -> Timestamp {
+        let unreachable_since = self.unreachable_owners.may_run_since(now);
+        let since = unreachable_since.map_or(contact_at, |since| since.max(contact_at));
+        self.state = HomeState::Orphaned { since, from };
+        since
     }
 
-    /// Records that an owner that was unreachable reports the run again.
-    pub(crate) fn on_owner_reachable(&mut self, owner: OwnerRef) {
-        self.unreachable_owner
-            .take_if(|unreachable| unreachable.owner == Some(owner));
+    /// Records that an owner that may go on with the run became unreachable.
+    pub(crate) fn on_owner_unreachable(
+        &mut self,
+        now: Timestamp,
+        owner: OwnerRef,
+        last_contact_at: Timestamp,
+    ) {
+        self.unreachable_owners.record(now, owner, last_contact_at);
+        self.upstream = None;
     }
 
-    /// The last contact with the unreachable owner that may go on with this run; none when no
-    /// unreachable owner can hold a lease on it any more.
-    pub(crate) fn may_run_unreachable_since(&self, now: Timestamp) -> Option<Timestamp> {
-        let since = self.unreachable_owner?.since;
-        (since + MAX_RUN_AFTER_CONTACT > now).then_some(since)
+    /// Records that the process of an owner has ended.
+    pub(crate) fn forget_owner_incarnation(&mut self, owner: OwnerRef) {
+        self.unreachable_owners.detach(owner);
+        if let HomeState::Orphaned { from, .. } = &mut self.state {
+            from.take_if(|(at, _)| *at == owner);
+        }
+    }
+
+    /// Records that the home has claimed its run from an owner that found it on an upstream.
+    ///
+    /// The unreachable owners stay: only an owner that has adopted the run proves where it is.
+    pub(crate) fn claim(&mut self, upstream: Arc<str>) {
+        self.upstream = Some(upstream);
+        self.is_claimed = true;
+    }
+
+    /// The latest contact with whoever may go on with its run although its owner does not hold it; none if
+    /// the run has ended.
+    ///
+    /// The owner of a claimed run may never have adopted it.
+    pub(crate) fn may_run_elsewhere_since(&self, now: Timestamp) -> Option<Timestamp> {
+        match self.is_claimed {
+            true => Some(now),
+            false => self.unreachable_owners.may_run_since(now),
+        }
     }
 
-    /// Whether its orphaned run can only be on this upstream.
-    pub(crate) fn is_certainly_on(&self, now: Timestamp, upstream: &str) -> bool {
-        matches!(self.state, HomeState::Orphaned { .. })
-            && self.may_run_unreachable_since(now).is_none()
-            && self.taken_over_on.as_deref() == Some(upstream)
+    /// The only upstream on which its orphaned run can be, where that is certain.
+    pub(crate) fn certain_upstream(&self, now: Timestamp) -> Option<&Arc<str>> {
+        let is_orphaned = matches!(self.state, HomeState::Orphaned { .. });
+        let is_certain = is_orphaned && self.unreachable_owners.may_run_since(now).is_none();
+        self.upstream.as_ref().filter(|_| is_certain)
     }
 
     /// Makes it wait for an owner again, with the next run number.
     pub(crate) fn retry(&mut self) {
         self.run_number += 1;
         self.state = HomeState::Waiting;
-        self.taken_over_on = None;
-        self.unreachable_owner = None;
+        self.upstream = None;
+        self.is_claimed = false;
+        self.unreachable_owners = UnreachableOwners::default();
     }
 }
--- a/lib/src/runs/open_batch.rs
+++ b/lib/src/runs/open_batch.rs
@@ -9,8 +9,6 @@
     pub(crate) job: HomeJobKey,
     /// The time of the owner's clock that the message named; none if it named none, and at an own owner.
     pub(crate) echo: Option<Timestamp>,
-    /// Whether the owner adopts runs that another owner started.
-    pub(crate) is_adoption: bool,
     /// The tasks, by their index in the job, of which the owner has reported no end.
     held_tasks: Vec<usize>,
 }
@@ -21,7 +19,6 @@
         OpenBatch {
             job,
             echo: None,
-            is_adoption: false,
             held_tasks: tasks,
         }
     }
