runs: know what an owner holds that is reachable again

While an owner is unreachable, another attempt's end can end one task of a batch that the owner holds. If the owner came back and other tasks of the batch were still wanted there, the home opened the batch again without the task and told nobody, so that its run went on until the batch closed. No task ran twice by it, since the home does not start a task again that is done; the work was wasted.

The batches of an unreachable owner are kept with their tasks. Those that it still holds are opened again whole, and what is no longer placed there is cancelled like anything else, by Home::release_batches.

orphaned_runs::task_that_was_done_meanwhile_is_cancelled_at_an_owner_that_returns is red without this change and green with it.

--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -101,6 +101,8 @@
     pub(crate) requests: IndexMap<RequestId, HomeJobKey>,
     /// The open batches by owner and batch number.
     pub(crate) batches: IndexMap<(OwnerRef, u64), OpenBatch>,
+    /// The same of unreachable owners, which may still hold them.
+    pub(crate) suspended: IndexMap<(OwnerRef, u64), OpenBatch>,
     /// The names of the owners' instances, for logs.
     owner_names: IndexMap<OwnerRef, Arc<str>>,
     /// The version of the intended state in force, for logs.
--- a/lib/src/runs/home_ends.rs
+++ b/lib/src/runs/home_ends.rs
@@ -56,10 +56,9 @@
             if is_orphaned {
                 state.unreachable_owners.remove(owner);
             }
-            if let Some(open) = self.batches.get_mut(&(owner, batch)) {
-                open.record_end(task);
-            }
-            if is_orphaned || state.state == placed {
+            let is_expected = is_orphaned || state.state == placed;
+            self.record_batch_end(owner, batch, task);
+            if is_expected {
                 self.end_task(now, key, task, end);
             }
         }
--- a/lib/src/runs/home_orphans.rs
+++ b/lib/src/runs/home_orphans.rs
@@ -10,7 +10,6 @@
 use super::home::ORPHAN_CLAIM_TIMEOUT;
 use super::home_job::Unfinished;
 use super::home_task::HomeState;
-use super::open_batch::OpenBatch;
 use super::owner_choice::OwnerRef;
 use super::peer_table::MAX_MESSAGE_AGE;
 use super::run_answer::GivenUp;
@@ -109,7 +108,8 @@
                 self.set_orphaned(now, key, task, last_contact_at, Some((owner, batch)));
             }
         }
-        self.batches.retain(|(at, _), _| *at != owner);
+        let suspended = self.batches.extract_if(.., |(at, _), _| *at == owner);
+        self.suspended.extend(suspended);
     }
 
     /// Detaches orphaned runs from an owner whose process has ended.
@@ -121,6 +121,7 @@
         for task in tasks {
             task.forget_owner_incarnation(owner);
         }
+        self.suspended.retain(|(at, _), _| *at != owner);
     }
 
     /// Handles runs that the new owner of an upstream found there.
@@ -292,6 +293,7 @@
         held: &[u64],
         highest_taken: u64,
     ) {
+        let reopened = self.reopen_batches(owner, sent_at, held, highest_taken);
         let keys: Vec<HomeJobKey> = self.jobs.keys().collect();
         for key in keys {
             let from_owner = |state: HomeState| match state {
@@ -318,16 +320,13 @@
                 }
                 if is_held {
                     job.tasks[task].state = HomeState::Placed { owner, batch };
-                    let reopened = || OpenBatch::new(key, Vec::new());
-                    let open = self.batches.entry((owner, batch));
-                    let open = open.or_insert_with(reopened);
-                    // Heartbeats sent before this one may not name the batch yet.
-                    open.echo = Some(sent_at);
-                    open.add(task);
                 } else if batch <= highest_taken {
                     self.resolve_missing(now, key, task);
                 }
             }
+            if reopened.contains(&key) {
+                self.release_batches(key);
+            }
         }
     }
 
--- a/lib/src/runs/open_batch.rs
+++ b/lib/src/runs/open_batch.rs
@@ -9,7 +9,8 @@
     pub(crate) job: HomeJobKey,
     /// The time of the owner's clock that the message named; none if it named none, and at an own owner.
     pub(crate) echo: Option<Timestamp>,
-    /// The tasks, by their index in the job, of which the owner has reported no end.
+    /// The tasks, by their index in the job, of which the owner has reported no end and which the home has not
+    /// released.
     held_tasks: Vec<usize>,
 }
 
@@ -23,11 +24,6 @@
         }
     }
 
-    /// Records that the owner holds a task after all.
-    pub(crate) fn add(&mut self, task: usize) {
-        self.held_tasks.push(task);
-    }
-
     /// Records that the owner has reported how a task ended.
     pub(crate) fn record_end(&mut self, task: usize) {
         self.held_tasks.retain(|held| *held != task);
--- a/lib/tests/orphaned_runs.rs
+++ b/lib/tests/orphaned_runs.rs
@@ -25,6 +25,8 @@
 use almondhead_lib::runs::run_id::JobId;
 use almondhead_lib::runs::run_id::RunId;
 use almondhead_lib::runs::run_id::TaskName;
+use almondhead_lib::runs::run_message::Cancellation;
+use almondhead_lib::runs::run_message::CancelledTask;
 use almondhead_lib::runs::run_message::EndedRun;
 use almondhead_lib::runs::run_message::FoundEnd;
 use almondhead_lib::runs::run_message::PeerReport;
@@ -85,6 +87,7 @@
     /// The owners to which the home has sent batches since this was last asked, and whether each is to adopt
     /// runs.
     batches: Vec<(usize, bool)>,
+    cancellations: Vec<(usize, Cancellation)>,
 }
 
 fn member(name: &str, incarnation: Incarnation, data_centre: &str) -> Member {
@@ -202,6 +205,7 @@
             now_ms: 10_000,
             owners,
             batches: Vec::new(),
+            cancellations: Vec::new(),
         };
         site.handle(RunEvent::StoreRegained);
         site.handle(RunEvent::RosterRead(roster));
@@ -253,6 +257,9 @@
         let (is_adoption, batch) = match message {
             RunMessage::Place(batch) => (false, batch),
             RunMessage::Adopt { batch, .. } => (true, batch),
+            RunMessage::Cancel(cancellation) => {
+                return self.cancellations.push((owner, cancellation));
+            }
             _ => return,
         };
         self.owners[owner].held.push(batch.number);
@@ -444,3 +451,46 @@
     site.run_ms(200);
     assert_eq!(site.take_batches(), [(THIRD, false)]);
 }
+
+/// Guards against a run that goes on at an owner which was unreachable when another attempt's end ended the
+/// task, beside those of its batch that are still wanted.
+#[test]
+fn task_that_was_done_meanwhile_is_cancelled_at_an_owner_that_returns() {
+    let mut site = Site::with_placed_tasks(2);
+    site.owners[FIRST].is_reachable = false;
+    site.run_ms(UNREACHABLE_MS);
+    site.announce_end(SECOND, OTHER_UPSTREAM, true);
+    assert_eq!(site.cancellations, []);
+    site.owners[FIRST].is_reachable = true;
+    site.run_ms(HEARTBEAT_MS);
+    let task = CancelledTask {
+        batch: 1,
+        step: 0,
+        index: 0,
+    };
+    let cancellation = Cancellation {
+        batches: Vec::new(),
+        tasks: vec![task],
+    };
+    assert_eq!(site.cancellations, [(FIRST, cancellation)]);
+    assert_eq!(site.take_batches(), []);
+}
+
+/// Guards against a job that ends without its runs at an owner that is reachable again.
+#[test]
+fn job_cancels_its_runs_at_an_owner_that_returned() {
+    let mut site = Site::with_placed_tasks(2);
+    site.owners[FIRST].is_reachable = false;
+    site.run_ms(UNREACHABLE_MS);
+    site.owners[FIRST].is_reachable = true;
+    site.run_ms(HEARTBEAT_MS);
+    assert_eq!(site.cancellations, []);
+    site.handle(RunEvent::RequestDropped {
+        request: RequestId(1),
+    });
+    let cancellation = Cancellation {
+        batches: vec![1],
+        tasks: Vec::new(),
+    };
+    assert_eq!(site.cancellations, [(FIRST, cancellation)]);
+}
