--- a/lib/src/runs/home_batches.rs
+++ b/lib/src/runs/home_batches.rs
@@ -102,6 +102,6 @@
 
 fn log_released(job: Option<&HomeJob>, batch: u64, tasks: usize) {
     if let Some(job) = job {
-        tracing::info!(job = %job.id, batch, tasks, "tasks that are placed no longer cancelled at their owner");
+        tracing::info!(job = %job.id, batch, tasks, "released tasks cancelled at their owner");
     }
 }
--- a/lib/src/runs/home_ends.rs
+++ b/lib/src/runs/home_ends.rs
@@ -71,10 +71,10 @@
     pub(crate) fn end_task(&mut self, now: Timestamp, key: HomeJobKey, task: usize, end: RunEnd) {
         let job = &mut self.jobs[key];
         let run = job.run(task);
-        let proves_nothing = !matches!(end, RunEnd::Done { .. } | RunEnd::TakenOver { .. });
+        // A run that ended otherwise may belong to an earlier attempt with the same numbers.
+        let counts = matches!(end, RunEnd::Done { .. } | RunEnd::TakenOver { .. });
         let unreachable_since = job.tasks[task].unreachable_owners.may_run_since(now);
-        if let Some(since) = unreachable_since.filter(|_| proves_nothing) {
-            // The run that ended may belong to an earlier attempt with the same numbers.
+        if let Some(since) = unreachable_since.filter(|_| !counts) {
             tracing::warn!(
                 job = %job.id, run = %run, ?end,
                 "end of run ignored: an unreachable owner may still run the task"
--- a/lib/src/runs/home_orphans.rs
+++ b/lib/src/runs/home_orphans.rs
@@ -24,7 +24,7 @@
 impl Home {
     /// Marks a run as orphaned.
     ///
-    /// `contact_at` and `from` are as in [`HomeTask::orphan`].
+    /// `contact_at` and `from` are as in [`super::home_task::HomeTask::orphan`].
     pub(crate) fn set_orphaned(
         &mut self,
         now: Timestamp,
@@ -315,13 +315,13 @@
                     job = %job.id, run = %job.run(task), batch, highest_taken, is_held,
                     "owner of an orphaned run reachable again"
                 );
-                if is_held || batch <= highest_taken {
-                    job.tasks[task].unreachable_owners.remove(owner);
+                if !is_held && batch > highest_taken {
+                    continue;
                 }
-                if is_held {
-                    job.tasks[task].state = HomeState::Placed { owner, batch };
-                } else if batch <= highest_taken {
-                    self.resolve_missing(now, key, task);
+                job.tasks[task].unreachable_owners.remove(owner);
+                match is_held {
+                    true => job.tasks[task].state = HomeState::Placed { owner, batch },
+                    false => self.resolve_missing(now, key, task),
                 }
             }
             if reopened.contains(&key) {
--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -222,7 +222,7 @@
             self.stop_dropped(now, upstream_key, run, name);
         }
         self.queue.retain(|queued| *queued != (batch_key, task));
-        self.end_task(batch_key, task, None);
+        self.close_task(batch_key, task, None);
         self.is_dirty = true;
     }
 
@@ -376,11 +376,12 @@
     /// Records how a task ended. Notifies its home at once of the batch's last end and of any end but
     /// done; other ends go with the next notice.
     pub(crate) fn report(&mut self, batch_key: HeldBatchKey, task: TaskIndex, end: RunEnd) {
-        self.end_task(batch_key, task, Some(end));
+        self.close_task(batch_key, task, Some(end));
     }
 
-    /// Ends a task of a batch; `end` is none if its home is not to be notified of it.
-    fn end_task(&mut self, batch_key: HeldBatchKey, task: TaskIndex, end: Option<RunEnd>) {
+    /// Ends a task of a batch, and the batch with its last one; `end` is none if the home is not to be notified
+    /// of the task.
+    fn close_task(&mut self, batch_key: HeldBatchKey, task: TaskIndex, end: Option<RunEnd>) {
         let Some(batch) = self.batches.get_mut(batch_key) else {
             return;
         };
--- a/lib/src/runs/unreachable_owners.rs
+++ b/lib/src/runs/unreachable_owners.rs
@@ -44,7 +44,8 @@
         self.contacts.retain(|contact| contact.owner != Some(owner));
     }
 
-    /// Records that the process of an owner has ended: what its next one reports says nothing of its leases.
+    /// Records that the process of an owner has ended: what its next one reports says nothing of the leases of
+    /// this one.
     pub(crate) fn detach(&mut self, owner: OwnerRef) {
         for contact in &mut self.contacts {
             contact.owner.take_if(|at| *at == owner);
