--- a/lib/testsupport/src/run_site/node.rs
+++ b/lib/testsupport/src/run_site/node.rs
@@ -89,6 +89,12 @@
     pub(super) unread_removals: Vec<ListingChange>,
     /// How often its process has read them.
     pub(super) listing_reads: u64,
+    /// The rate in bytes a millisecond at which its link carries messages to it; unlimited if none.
+    pub(super) link_bytes_per_ms: Option<u64>,
+    /// When its link has carried all messages sent to it so far.
+    pub(super) link_free_at: Timestamp,
+    /// The intended states sent to it by other instances so far.
+    pub(super) received_states: u64,
     /// The messages to and from other instances so far.
     pub(super) messages: u64,
     /// The number of heartbeats written to the store so far.
@@ -119,6 +125,9 @@
             reads_listing: true,
             unread_removals: Vec::new(),
             listing_reads: 0,
+            link_bytes_per_ms: None,
+            link_free_at: Timestamp::ZERO,
+            received_states: 0,
             messages: 0,
             heartbeats: 0,
             wakes_at: None,
--- a/lib/testsupport/src/run_site/site_messages.rs
+++ b/lib/testsupport/src/run_site/site_messages.rs
@@ -5,6 +5,7 @@
 
 use almondhead_lib::event::PeerIdentity;
 use almondhead_lib::runs::event::RunEvent;
+use almondhead_lib::runs::run_message::RunMessage;
 use almondhead_lib::runs::run_message::TimedRunMessage;
 
 use super::site::HeldMessage;
@@ -18,6 +19,9 @@
 /// The longest delay of a message that a fault delays, in milliseconds.
 const MAX_MESSAGE_DELAY_MS: u64 = 3_000;
 
+/// The size on a link of a message other than an intended state.
+const SMALL_MESSAGE_BYTES: u64 = 200;
+
 /// The faults of messages between instances.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MessageFault {
@@ -71,9 +75,43 @@
             true => self.random_delay(),
             false => queued.map_or(PEER_DELAY, |queued| PEER_DELAY + queued),
         };
+        let delay = delay + self.link_delay(node, &event);
         self.schedule_event(delay, node, incarnation, event);
     }
 
+    /// Sets the rate in bytes a millisecond at which an instance's link carries the messages that are
+    /// sent to it from now on, one after the other.
+    pub fn set_link_rate(&mut self, node: usize, bytes_per_ms: u64) {
+        self.nodes[node].link_bytes_per_ms = Some(bytes_per_ms);
+        self.nodes[node].link_free_at = self.now;
+    }
+
+    /// Returns the number of intended states that other instances have sent to an instance.
+    pub fn received_states(&self, node: usize) -> u64 {
+        self.nodes[node].received_states
+    }
+
+    /// How long a message waits for the receiver's link, and is on it.
+    fn link_delay(&mut self, node: usize, event: &RunEvent) -> Duration {
+        let state = &mut self.nodes[node];
+        let body_bytes = match event {
+            RunEvent::PeerMessage { message, .. } => match &message.message {
+                RunMessage::IntendedBody { body, .. } => {
+                    state.received_states += 1;
+                    body.len() as u64
+                }
+                _ => 0,
+            },
+            _ => 0,
+        };
+        let Some(bytes_per_ms) = state.link_bytes_per_ms else {
+            return Duration::ZERO;
+        };
+        let transfer = Duration::from_millis((SMALL_MESSAGE_BYTES + body_bytes) / bytes_per_ms);
+        state.link_free_at = state.link_free_at.max(self.now) + transfer;
+        state.link_free_at.since(self.now)
+    }
+
     fn happens(&mut self, percent: u64) -> bool {
         percent > 0 && self.random_below(100) < percent
     }
--- a/lib/testsupport/src/run_site/site_observations.rs
+++ b/lib/testsupport/src/run_site/site_observations.rs
@@ -42,6 +42,12 @@
         self.upstreams.iter().map(|state| state.runs.len()).sum()
     }
 
+    /// Returns the version of the intended state that an instance has, zero if it has none.
+    pub fn intended_version(&self, node: usize) -> u64 {
+        let dispatcher = self.nodes[node].dispatcher.as_ref();
+        dispatcher.map_or(0, |dispatcher| dispatcher.status().intended_version)
+    }
+
     /// Returns the number of upstreams that an instance owns and that accept tasks.
     pub fn usable_upstreams(&self, node: usize) -> usize {
         let dispatcher = self.nodes[node].dispatcher.as_ref();
--- a/lib/testsupport/src/run_site/site_store.rs
+++ b/lib/testsupport/src/run_site/site_store.rs
@@ -51,6 +51,8 @@
             members: self.roster.values().cloned().collect(),
         };
         self.deliver(node, RunEvent::RosterRead(roster));
+        let as_of = self.nodes[node].clock(self.now);
+        self.deliver(node, RunEvent::OperatorsRead { as_of });
         self.read_evacuated(node);
         let is_alive = self.nodes[node].dispatcher.is_some();
         if !is_alive || !self.nodes[node].reads_listing {
