runs: request a newer intended state from one instance at a time

An instance requested the state with each heartbeat and each report of ends that showed a newer version, from each sender, until it had it; each request was answered with the whole state, queued before the next version. Small instances received 2.2 MB/s for 20 s, all that their links carry; heartbeats on the full links were late and discarded, the news of versions with them.

A repetition is caused by the next news of a version, which on a full link is late: what only grows in a digest (versions, leaving) now counts however old the message is. A body whose version is not newer is not decoded. A listing update without a clock reading no longer asks for the state.

--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -76,6 +76,7 @@
 pub mod run_order;
 pub mod run_settings;
 pub mod run_status;
+mod state_transfer;
 mod step_constraints;
 mod step_mean;
 mod unreachable_owners;
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -89,6 +89,7 @@
             RunMessage::Place(batch) => self.owner.refuse_stale(now, home, batch),
             RunMessage::Adopt { upstream, batch } => self.owner.adopt(now, home, &upstream, batch),
             RunMessage::Ends(ends) => {
+                self.record_versions(peer, &ends.digest);
                 self.record_digest(peer, ends.digest);
                 self.home.handle_ends(now, owner, ends.batch, ends.ends);
             }
@@ -103,8 +104,12 @@
                 self.home
                     .handle_found_runs(now, owner, &upstream, &running, &ended);
             }
-            RunMessage::Report(report) if is_fresh => self.handle_report(peer, sent_at, report),
-            RunMessage::Report(_) => {}
+            RunMessage::Report(report) => {
+                self.record_versions(peer, &report.digest);
+                if is_fresh {
+                    self.handle_report(peer, sent_at, report);
+                }
+            }
             RunMessage::Delegate(job) => {
                 let age = echo.filter(|_| is_fresh).map(|echo| now.since(echo));
                 self.handle_delegated_job(peer, home, age, job);
@@ -122,7 +127,9 @@
             RunMessage::IntendedRequest { have_version } => {
                 self.send_intended(peer, have_version);
             }
-            RunMessage::IntendedBody { body, .. } => self.handle_intended_body(name, body),
+            RunMessage::IntendedBody { version, body } => {
+                self.handle_intended_body(name, version, body);
+            }
             RunMessage::EvacuationRequest { have_version } => {
                 self.send_evacuation(peer, have_version);
             }
@@ -158,23 +165,45 @@
         self.reconcile_held(peer, home, &report.delegation);
     }
 
-    /// Records the load of a peer, and requests its intended state and its set of evacuated data centres
-    /// if they are newer.
-    fn record_digest(&mut self, peer: PeerKey, digest: RunDigest) {
-        let own_version = self.intended.as_ref().map_or(0, |state| state.version);
-        if digest.intended_version > own_version {
-            self.request_intended(peer);
-        }
+    /// Records what only grows in the digest of a peer, which holds however old it is, and requests the
+    /// peer's intended state and its set of evacuated data centres if they are newer.
+    fn record_versions(&mut self, peer: PeerKey, digest: &RunDigest) {
+        self.state_transfer.record_version(digest.intended_version);
+        self.request_newer_intended(peer, digest.intended_version);
         self.request_newer_evacuation(peer, digest.evacuation_version);
+        self.peers.peers[peer].digest.leaving |= digest.leaving;
+    }
+
+    /// Records the load of a peer.
+    fn record_digest(&mut self, peer: PeerKey, digest: RunDigest) {
         self.peers.peers[peer].digest = digest;
         self.peers.peers[peer].digest_at = Some(self.now);
         self.home.mark_dirty();
     }
 
-    /// Requests the intended state of a peer if it has a newer one. The request also shows the peer this
-    /// instance's clock, by which the peer dates its messages.
-    pub(crate) fn request_intended(&mut self, peer: PeerKey) {
-        let have_version = self.intended.as_ref().map_or(0, |state| state.version);
+    /// The version of the intended state in force; zero before there is one.
+    pub(crate) fn intended_version(&self) -> u64 {
+        self.intended.as_ref().map_or(0, |state| state.version)
+    }
+
+    /// Requests the intended state of a peer, which has this version, if it is newer and neither the store
+    /// nor another instance is about to deliver it.
+    fn request_newer_intended(&mut self, peer: PeerKey, version: u64) {
+        let have_version = self.intended_version();
+        let read_as_of = self.operators_as_of;
+        let transfer = &mut self.state_transfer;
+        if transfer.begin(self.now, peer, version, have_version, read_as_of) {
+            let instance = &self.peers.peers[peer].name;
+            tracing::info!(%instance, version, have_version, "intended state requested");
+            self.send(peer, RunMessage::IntendedRequest { have_version });
+        }
+    }
+
+    /// Shows a peer this instance's clock, by which the peer dates its messages. Its intended state is not
+    /// requested, unless it is newer than any that is known of.
+    pub(crate) fn show_clock(&mut self, peer: PeerKey) {
+        let known_version = self.state_transfer.newest_version();
+        let have_version = self.intended_version().max(known_version);
         self.send(peer, RunMessage::IntendedRequest { have_version });
     }
 
@@ -192,9 +221,13 @@
         self.send(peer, message);
     }
 
-    fn handle_intended_body(&mut self, sender: &Arc<str>, body: Bytes) {
+    fn handle_intended_body(&mut self, sender: &Arc<str>, version: u64, body: Bytes) {
+        if version <= self.intended_version() {
+            return self.state_transfer.end();
+        }
         match self.decoder.decode(&body) {
             Some(state) => {
+                self.state_transfer.end();
                 let origin = FactOrigin::Instance(sender.clone());
                 self.install_intended_state(Arc::new(state), body, origin);
             }
@@ -311,7 +344,7 @@
         RunDigest {
             services: self.owner.loads(self.now),
             waiting: self.home.waiting(),
-            intended_version: self.intended.as_ref().map_or(0, |state| state.version),
+            intended_version: self.intended_version(),
             leaving: self.is_leaving,
             evacuation_version: self.evacuation.version(),
         }
--- a/lib/src/runs/dispatcher_peers.rs
+++ b/lib/src/runs/dispatcher_peers.rs
@@ -99,6 +99,7 @@
         self.home
             .on_owner_unreachable(self.now, OwnerRef::Peer(peer), last_contact_at);
         self.owner.drop_home(self.now, incarnation);
+        self.state_transfer.give_up(peer);
         self.give_up_delegated_to(peer, incarnation);
         self.drop_delegated_by(incarnation);
     }
--- a/lib/src/runs/listing_updates.rs
+++ b/lib/src/runs/listing_updates.rs
@@ -47,7 +47,7 @@
         update: ListingUpdate,
     ) {
         if sent_at.is_none() {
-            self.request_intended(peer);
+            self.show_clock(peer);
         }
         let relay = &mut self.listing_relay;
         if !relay.record_update(sender, sent_at, &update) {
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -29,6 +29,7 @@
 use super::run_message::RunMessage;
 use super::run_settings::RunSettings;
 use super::run_status::RunStatus;
+use super::state_transfer::StateTransfer;
 use super::upstream_listing::UpstreamListing;
 use super::whole_ms::whole_ms;
 use crate::id::Incarnation;
@@ -94,6 +95,8 @@
     pub(crate) intended_origin: FactOrigin,
     /// The time before which all that operators wrote has been read; none before the first read.
     pub(crate) operators_as_of: Option<Timestamp>,
+    /// The request for a newer intended state of another instance.
+    pub(crate) state_transfer: StateTransfer,
     pub(crate) evacuation: Evacuation,
     pub(crate) roster: Roster,
     pub(crate) assignment: OwnAssignment,
@@ -143,6 +146,7 @@
             intended_since: Timestamp::ZERO,
             intended_origin: FactOrigin::default(),
             operators_as_of: None,
+            state_transfer: StateTransfer::default(),
             evacuation: Evacuation::default(),
             roster: Roster::default(),
             assignment: OwnAssignment::default(),
@@ -208,7 +212,7 @@
     pub fn status(&self) -> RunStatus {
         let upstreams = self.owner.upstreams.values();
         RunStatus {
-            intended_version: self.intended.as_ref().map_or(0, |state| state.version),
+            intended_version: self.intended_version(),
             roster_version: self.roster.version,
             leaving: self.is_leaving,
             ready: self.is_ready(),
@@ -379,7 +383,7 @@
         body: Bytes,
         origin: FactOrigin,
     ) {
-        let current = self.intended.as_ref().map_or(0, |state| state.version);
+        let current = self.intended_version();
         if state.version <= current {
             return;
         }
