net, platform: read the store as long as its answer keeps arriving

The silence of a connection is noticed as early as before. The answer of a read that arrived while the process was suspended is used.

--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -13,6 +13,7 @@
 mod request;
 mod response;
 mod settings;
+mod transfer_timeouts;
 
 pub use client::HttpClient;
 pub use error::ExchangeError;
@@ -23,3 +24,4 @@
 pub use response::HttpResponse;
 pub use settings::HttpSettings;
 pub use settings::Protocol;
+pub use transfer_timeouts::TransferTimeouts;
--- a/net/src/http/client.rs
+++ b/net/src/http/client.rs
@@ -17,6 +17,7 @@
 use super::request::HttpRequest;
 use super::response::HttpResponse;
 use super::settings::HttpSettings;
+use super::transfer_timeouts::TransferTimeouts;
 use crate::deadline::Deadline;
 
 /// An HTTP client that keeps a bounded number of connections to each address.
@@ -66,16 +67,27 @@
             Err(Failure::Timeout { timeout_ms })
         };
         let result = or(timed_out, pool.send(&request, &progress)).await;
-        if let Err(Failure::Timeout { .. }) = &result {
-            // All connections to the peer may have stopped delivering without a reset.
-            pool.close_idle();
-        }
-        result.map_err(|failure| ExchangeError {
-            step: progress.step(),
-            peer: request.address,
-            sent: progress.sent(),
-            failure,
-        })
+        finish(&pool, &request, &progress, result)
+    }
+
+    /// Sends a request and returns its whole response, which may take as long as its parts keep arriving.
+    ///
+    /// A response that has arrived is returned even if the process reads it after a timeout.
+    pub async fn send_while_receiving(
+        &self,
+        request: HttpRequest,
+        timeouts: TransferTimeouts,
+    ) -> Result<HttpResponse, ExchangeError> {
+        let started_at = Instant::now();
+        let progress = Progress::new();
+        let pool = self.pool(request.address);
+        let timed_out = async {
+            timeouts.expire(started_at, &progress).await;
+            let timeout_ms = started_at.elapsed().as_millis();
+            Err(Failure::Timeout { timeout_ms })
+        };
+        let result = or(pool.send(&request, &progress), timed_out).await;
+        finish(&pool, &request, &progress, result)
     }
 
     fn pool(&self, address: SocketAddr) -> Arc<Pool> {
@@ -89,3 +101,21 @@
         pool
     }
 }
+
+fn finish(
+    pool: &Pool,
+    request: &HttpRequest,
+    progress: &Progress,
+    result: Result<HttpResponse, Failure>,
+) -> Result<HttpResponse, ExchangeError> {
+    if let Err(Failure::Timeout { .. }) = &result {
+        // All connections to the peer may have stopped delivering without a reset.
+        pool.close_idle();
+    }
+    result.map_err(|failure| ExchangeError {
+        step: progress.step(),
+        peer: request.address,
+        sent: progress.sent(),
+        failure,
+    })
+}
--- a/net/src/http/http1_connection.rs
+++ b/net/src/http/http1_connection.rs
@@ -80,7 +80,7 @@
         let exchange = async move {
             let response = sender.send_request(request).await?;
             progress.enter(Step::ReadBody);
-            read_body(response, limit_bytes).await
+            read_body(response, limit_bytes, progress).await
         };
         let result = drive(exchange, &mut self.driver).await;
         self.last_used_at = Instant::now();
--- a/net/src/http/http2_pool.rs
+++ b/net/src/http/http2_pool.rs
@@ -52,7 +52,7 @@
             let mut error = match connection.send(message).await {
                 Ok(response) => {
                     progress.enter(Step::ReadBody);
-                    return read_body(response, self.response_body_bytes).await;
+                    return read_body(response, self.response_body_bytes, progress).await;
                 }
                 Err(error) => error,
             };
--- a/net/src/http/progress.rs
+++ b/net/src/http/progress.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 use super::counted_stream::StreamState;
 use super::error::Sent;
@@ -14,6 +15,8 @@
 struct State {
     step: Step,
     evidence: Evidence,
+    /// When the latest part of the response's body arrived.
+    received_at: Option<Instant>,
 }
 
 enum Evidence {
@@ -34,6 +37,7 @@
         Self(Mutex::new(State {
             step: Step::Build,
             evidence: Evidence::NotHandedOver,
+            received_at: None,
         }))
     }
 
@@ -65,6 +69,16 @@
         self.with(|state| state.evidence = Evidence::NotHandedOver);
     }
 
+    /// Records that a part of the response's body has arrived.
+    pub(crate) fn record_received(&self) {
+        self.with(|state| state.received_at = Some(Instant::now()));
+    }
+
+    /// Returns when the latest part of the response's body arrived.
+    pub(crate) fn received_at(&self) -> Option<Instant> {
+        self.with(|state| state.received_at)
+    }
+
     /// Returns whether the request may have been sent; final once the exchange's future is dropped.
     pub(crate) fn sent(&self) -> Sent {
         let is_unsent = self.with(|state| match &state.evidence {
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -23,6 +23,7 @@
 pub use crate::http::Protocol;
 pub use crate::http::Sent;
 pub use crate::http::Step;
+pub use crate::http::TransferTimeouts;
 pub use crate::path_segment::decode_segment;
 pub use crate::path_segment::encode_segment;
 pub use crate::platform::CasResult;
