runs: deny a queue only on a recent read of the intended state

Whatever delays a version, a 404 says that there is no such queue, which an instance can tell only if it has read the operators' rows as recently as a change may take to be in force.

A request sent later than this after a version was acknowledged is denied only on a read requested after the acknowledgement: the age is taken from the request of the read to the decision, so that no other delay counts. A version that another instance has shown, and that has not arrived, rules a denial out, too. All others get 503, outdated_state, with Retry-After; known queues are served as before.

--- a/entry/src/run_metrics.rs
+++ b/entry/src/run_metrics.rs
@@ -195,6 +195,7 @@
 fn refusal_name(reason: &NotRun) -> &'static str {
     match reason {
         NotRun::NoIntendedState => "no_intended_state",
+        NotRun::OutdatedState => "outdated_state",
         NotRun::Spec(_) => "unsupported",
         NotRun::NeedsNoUpstreamHas => "needs_no_upstream_has",
         NotRun::NoUpstreamInReach => "no_upstream_in_reach",
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -227,6 +227,7 @@
         limits: RunLimits {
             lease: Duration::from_millis(leased.lease_ms),
             max_open_jobs: settings.limits.jobs,
+            max_intended_age: Duration::from_millis(leased.max_intended_age_ms),
             ..RunLimits::default()
         },
     }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -63,6 +63,9 @@
     pub lease_ms: u64,
     /// How long a stopping process may take before it is killed, in milliseconds.
     pub stop_grace_ms: u64,
+    /// The longest time since the operators' rows were read within which a request for a queue that they
+    /// do not have is answered as such, in milliseconds.
+    pub max_intended_age_ms: u64,
     /// The processor capacity of the machine in thousandths of a core, if the settings give it.
     pub processor_millicores: Option<u32>,
     /// What gives way when upstreams have too little capacity.
@@ -237,6 +240,7 @@
         ready_address: reader.address("ready_address"),
         lease_ms: reader.number("lease_ms", 100..=60_000, 1_000),
         stop_grace_ms: reader.number("stop_grace_ms", 1_000..=600_000, 6_000),
+        max_intended_age_ms: reader.number("max_intended_age_ms", 100..=60_000, 2_000),
         processor_millicores: read_processor(&mut reader, problems),
         overload: read_overload(&mut reader),
     };
--- a/lib/src/peer_codec/delegation.rs
+++ b/lib/src/peer_codec/delegation.rs
@@ -127,7 +127,10 @@
 
 fn encode_not_run(reason: NotRun) -> proto::DelegatedNotRunReason {
     match reason {
-        NotRun::NoIntendedState => proto::DelegatedNotRunReason::NoIntendedState,
+        // The delegating instance knows the queue itself.
+        NotRun::NoIntendedState | NotRun::OutdatedState => {
+            proto::DelegatedNotRunReason::NoIntendedState
+        }
         // The delegating instance checks the specification itself.
         NotRun::Spec(_) | NotRun::NeedsNoUpstreamHas => {
             proto::DelegatedNotRunReason::NeedsNoUpstreamHas
--- a/lib/src/runs/requesting.rs
+++ b/lib/src/runs/requesting.rs
@@ -11,6 +11,7 @@
 use super::run_message::RunMessage;
 use super::whole_ms::whole_ms;
 use crate::id::RequestId;
+use crate::time::Timestamp;
 
 impl RunDispatcher {
     /// Handles a caller's request; answers it at once unless it waits for a job.
@@ -28,7 +29,7 @@
                 Some(Duration::from_secs(1)),
             )),
             Some(intended) => match intended.target(host, path) {
-                None => Some(RunAnswer::NoSuchQueue),
+                None => Some(self.deny_queue()),
                 Some(target) => match kind {
                     RequestKind::Submit(spec) => self.submit(request, &target, spec, wait),
                     RequestKind::LookUp => Some(self.look_up(&target)),
@@ -38,7 +39,7 @@
         };
         if let Some(answer) = answer {
             if !matches!(answer, RunAnswer::Waiting(_) | RunAnswer::State(_)) {
-                let version = self.intended.as_ref().map_or(0, |state| state.version);
+                let version = self.intended_version();
                 tracing::info!(
                     path,
                     version,
@@ -53,6 +54,18 @@
         }
     }
 
+    /// The answer to a request for a queue that the intended state in force does not have: there is none
+    /// only if no newer state can have been in force for longer than a change may take.
+    fn deny_queue(&self) -> RunAnswer {
+        let max_age = self.settings.limits.max_intended_age;
+        let is_recent = |as_of: Timestamp| self.now.since(as_of) <= max_age;
+        let is_newest = self.state_transfer.newest_version() <= self.intended_version();
+        match is_newest && self.operators_as_of.is_some_and(is_recent) {
+            true => RunAnswer::NoSuchQueue,
+            false => not_run(NotRun::OutdatedState, Some(Duration::from_secs(1))),
+        }
+    }
+
     /// The state of a job, or the number of jobs of the queue that wait at reachable instances.
     fn look_up(&self, target: &Target<'_>) -> RunAnswer {
         if let Some(job) = target.job() {
--- a/lib/src/runs/run_answer.rs
+++ b/lib/src/runs/run_answer.rs
@@ -68,6 +68,9 @@
     /// The intended state is not known yet.
     #[display("no_intended_state")]
     NoIntendedState,
+    /// No queue of the intended state in force has this host and path, but a newer state may have.
+    #[display("outdated_state")]
+    OutdatedState,
     /// The job is invalid, whatever the load.
     #[display("{_0}")]
     Spec(SpecFault),
--- a/lib/src/runs/run_settings.rs
+++ b/lib/src/runs/run_settings.rs
@@ -39,6 +39,9 @@
     pub relisting_grace: Duration,
     /// The maximum number of open jobs.
     pub max_open_jobs: usize,
+    /// The longest time since the operators' rows were read within which a queue that they do not have is
+    /// denied: how long a change may take to be in force.
+    pub max_intended_age: Duration,
 }
 
 impl Default for RunLimits {
@@ -48,6 +51,7 @@
             default_timeout: Duration::from_millis(1_500),
             relisting_grace: Duration::from_millis(2_200),
             max_open_jobs: 5_000,
+            max_intended_age: Duration::from_millis(2_000),
         }
     }
 }
