--- a/entry/tests/fault_soak/scenario.rs
+++ b/entry/tests/fault_soak/scenario.rs
@@ -208,6 +208,7 @@
             queues: queues
                 .map(|(queue, priority)| (queue.0, priority))
                 .collect(),
+            ..SiteLayout::default()
         }
     }
 
