entry: one budget of memory and connections for all callers

Accept failed at the descriptors' limit, was repeated at once, and logged each time. An answer that is not read held its connection for ever, and "PRI " as the first bytes after an answer lifted every limit.

ConnectionBudget counts the connections and the input of all HTTP listeners, by the machine's memory and descriptors, which are settings or detected; the rest stays for peers, store and upstreams. New connections are admitted by the accept loop, in place of the one that has been without a request for longest; input beyond the budget closes the connection that holds most, and others read on once it is gone. The readiness and the operators' port have their own share. Input counts twice for its buffers, and heads 256 bytes a line more for the parsed map. What is sent ahead of an answer is limited (ahead_bytes, 64 KiB), as is the time for which an answer may stay unread (idle_ms). Only sites that offer HTTP/2 accept its preface, at the start of a connection. Lines about bodies come once a second.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -32,6 +32,8 @@
 use crate::caller_context::CallerContext;
 use crate::claim_queue::ClaimWriter;
 use crate::clock::Clock;
+use crate::connection_budget::Audience;
+use crate::connection_budget::ConnectionBudget;
 use crate::document_watch::DocumentFileError;
 use crate::document_watch::DocumentWatch;
 use crate::document_watch::install_file;
@@ -45,6 +47,7 @@
 use crate::instance_watch::ListHistory;
 use crate::listener;
 use crate::listener::ListenError;
+use crate::listener::ListenerLimits;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::operator_api::OperatorContext;
@@ -136,6 +139,15 @@
     executor::block_on(or(served, panicked))
 }
 
+/// Returns the limits that the listeners of the process share.
+pub(crate) fn listener_limits(settings: &Settings, offers_http2: bool) -> ListenerLimits {
+    ListenerLimits {
+        budget: ConnectionBudget::new(settings.machine, settings.limits.connections),
+        limits: settings.limits.clone(),
+        offers_http2,
+    }
+}
+
 /// The parts of a running process that are shut down in order.
 struct Process {
     settings: Settings,
@@ -168,11 +180,11 @@
         start_driver(&settings, &shared, commands);
         executor::spawn(receive_messages(incoming, shared.driver.clone()));
         start_watches(&settings, &shared).await?;
-        let limits = &settings.limits;
+        let limits = listener_limits(&settings, true);
         let operators = operator_api(&operator_context(&settings, &shared));
-        let operators = listener::serve(operator_listener, limits, operators);
+        let operators = listener::serve(operator_listener, Audience::Operators, &limits, operators);
         let callers = caller_api(&caller_context(&settings, &shared));
-        let callers = listener::serve(caller_listener, limits, callers);
+        let callers = listener::serve(caller_listener, Audience::Callers, &limits, callers);
         tracing::info!(
             instance = %settings.instance,
             incarnation = %shared.identity.incarnation,
--- a/entry/src/request_body.rs
+++ b/entry/src/request_body.rs
@@ -9,6 +9,7 @@
 use trillium::Conn;
 use trillium_http::Error;
 
+use crate::guarded_transport::mark_body_received;
 use crate::problem::Refusal;
 use crate::settings::Limits;
 
@@ -41,9 +42,11 @@
         }
     };
     let limit_ms = limits.body_ms;
-    or(read, async {
+    let body = or(read, async {
         Timer::after(Duration::from_millis(limit_ms)).await;
         Err(Refusal::BodyTimeout { limit_ms })
     })
-    .await
+    .await;
+    mark_body_received(conn);
+    body
 }
--- a/entry/src/run_api.rs
+++ b/entry/src/run_api.rs
@@ -18,6 +18,7 @@
 
 use crate::bind::bind;
 use crate::guarded_transport::mark_request_received;
+use crate::log_limit::LogLimit;
 use crate::problem::Refusal;
 use crate::reply::body_reply;
 use crate::request_body::read_body;
@@ -39,6 +40,8 @@
     pub(crate) metrics: RunMetrics,
     pub(crate) limits: Limits,
     pub(crate) stopping: Stopping,
+    /// Limits the lines about bodies that are not jobs.
+    pub(crate) body_log: LogLimit,
 }
 
 /// Returns the handler of the callers' listener.
@@ -100,7 +103,10 @@
     match decode_job(&body) {
         Ok(job) => Ok(RequestKind::Submit(Arc::new(job))),
         Err(error) => {
-            tracing::warn!(path = conn.path(), %error, "request refused: its body is not a job");
+            if let Some(suppressed) = context.body_log.permit() {
+                let path = conn.path();
+                tracing::warn!(path, %error, suppressed, "request refused: its body is not a job");
+            }
             Err(Refusal::field("body", "is not a job"))
         }
     }
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -29,14 +29,17 @@
 use trillium_server_common::ServerHandle;
 
 use crate::clock::Clock;
+use crate::connection_budget::Audience;
 use crate::deferred_transport::DeferredTransport;
 use crate::executor;
 use crate::input_mark::InputMark;
 use crate::listener;
+use crate::log_limit::LogLimit;
 use crate::peer::Incoming;
 use crate::peer::PeerSettings;
 use crate::peer_tcp::TcpTransport;
 use crate::process::ProcessError;
+use crate::process::listener_limits;
 use crate::run_api::RunContext;
 use crate::run_api::ready_api;
 use crate::run_api::run_api;
@@ -101,6 +104,7 @@
             metrics: metrics.clone(),
             limits: settings.limits.clone(),
             stopping: stopping.clone(),
+            body_log: LogLimit::default(),
         });
         let callers = listen(&settings, &leased, &context)?;
         let identity = PeerIdentity {
@@ -205,10 +209,17 @@
     let callers = listener::bind("callers", settings.caller_address)?;
     let ready = listener::bind("readiness", leased.ready_address)?;
     let operators = listener::bind("operators", settings.operator_address)?;
-    let limits = &settings.limits;
-    listener::serve(ready, limits, ready_api(context));
-    listener::serve(operators, limits, run_metrics_api(context));
-    Ok(listener::serve(callers, limits, run_api(context)))
+    let limits = listener_limits(settings, false);
+    listener::serve(ready, Audience::Readiness, &limits, ready_api(context));
+    let metrics_api = run_metrics_api(context);
+    listener::serve(operators, Audience::Operators, &limits, metrics_api);
+    let run_api = run_api(context);
+    Ok(listener::serve(
+        callers,
+        Audience::Callers,
+        &limits,
+        run_api,
+    ))
 }
 
 fn store_client(settings: &Settings, sink: &EventSink) -> Arc<StoreClient> {
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -13,6 +13,7 @@
 use derive_more::Error;
 use serde_json::Value;
 
+use crate::machine::Machine;
 use crate::secret::Secret;
 use crate::settings_reader::SettingsProblem;
 use crate::settings_reader::SettingsReader;
@@ -44,6 +45,8 @@
     pub trace_output: TraceOutput,
     /// How long a stopping process reports not ready before it closes its listeners, in ms.
     pub stop_notice_ms: u64,
+    /// What the process may use of its machine.
+    pub machine: Machine,
     /// How the process calls the platform.
     pub platform: PlatformSettings,
     /// Limits on callers' requests and on the state that is kept.
@@ -109,7 +112,9 @@
     pub head_bytes: usize,
     /// Maximum number of tasks of one job, whatever its service allows.
     pub tasks_per_job: usize,
-    /// Maximum number of open connections of each HTTP listener.
+    /// Maximum number of bytes that a caller may send ahead of its answers on one connection.
+    pub ahead_bytes: u64,
+    /// Maximum number of open connections of each HTTP listener; the machine may allow fewer.
     pub connections: usize,
     /// How long a request body may take to arrive, in milliseconds.
     pub body_ms: u64,
@@ -162,6 +167,16 @@
     lines.join("\n")
 }
 
+const BYTES_PER_MB: u64 = 1_024 * 1_024;
+
+/// The memory that a machine may be said to have, in MiB.
+const MIN_MEMORY_MB: u64 = 16;
+const MAX_MEMORY_MB: u64 = 16 * 1_024 * 1_024;
+
+/// The descriptors that a machine may be said to have.
+const MIN_DESCRIPTORS: u64 = 64;
+const MAX_DESCRIPTORS: u64 = 16 * 1_024 * 1_024;
+
 /// Upper bound on the share of one core that a machine may be given.
 const MAX_PROCESSOR_SHARE: f64 = 1.0;
 
@@ -225,6 +240,7 @@
         log_filter: read_log_filter(reader),
         trace_output: read_trace_output(reader),
         stop_notice_ms: reader.number("stop_notice_ms", 0..=600_000, 2_000),
+        machine: read_machine(reader.object("machine"), problems),
         platform: read_platform(reader.object("platform"), problems),
         limits: read_limits(reader.object("limits"), problems),
         leased_runs,
@@ -302,6 +318,21 @@
     }
 }
 
+/// Reads what the process may use of its machine; what is not set is detected.
+fn read_machine(mut reader: SettingsReader, problems: &mut Vec<SettingsProblem>) -> Machine {
+    let detected = Machine::detect();
+    let detected_mb = (detected.memory_bytes / BYTES_PER_MB).clamp(MIN_MEMORY_MB, MAX_MEMORY_MB);
+    let detected_count = detected.descriptors.clamp(MIN_DESCRIPTORS, MAX_DESCRIPTORS);
+    let memory_mb = reader.number("memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB, detected_mb);
+    let descriptors = MIN_DESCRIPTORS..=MAX_DESCRIPTORS;
+    let machine = Machine {
+        memory_bytes: memory_mb * BYTES_PER_MB,
+        descriptors: reader.number("descriptors", descriptors, detected_count),
+    };
+    problems.extend(reader.finish());
+    machine
+}
+
 fn read_platform(
     mut reader: SettingsReader,
     problems: &mut Vec<SettingsProblem>,
@@ -322,6 +353,7 @@
     let limits = Limits {
         body_bytes: reader.number("body_bytes", 1_024..=1_073_741_824, 8 * 1_024 * 1_024),
         head_bytes: reader.count("head_bytes", 1_024..=1_048_576, 16 * 1_024),
+        ahead_bytes: reader.number("ahead_bytes", 1_024..=1_073_741_824, 64 * 1_024),
         tasks_per_job: reader.count("tasks_per_job", 1..=100_000, 1_000),
         connections: reader.count("connections", 1..=1_000_000, 4_000),
         body_ms: reader.number("body_ms", 10..=600_000, 10_000),
--- a/entry/tests/abusive_clients.rs
+++ b/entry/tests/abusive_clients.rs
@@ -49,8 +49,8 @@
 /// What each client of a crowd writes.
 struct Crowd {
     connections: usize,
-    /// Written first.
-    opening: Vec<u8>,
+    /// Written first, with the number of the client in place of `CLIENT`.
+    opening: String,
     /// Written again and again after it.
     block: Vec<u8>,
     /// The number of bytes after which a client writes no more.
@@ -62,7 +62,7 @@
     fn of_requests(connections: usize, request: &str, mebibytes: usize) -> Self {
         Crowd {
             connections,
-            opening: Vec::new(),
+            opening: String::new(),
             block: request.repeat(500).into_bytes(),
             bytes: mebibytes * MEBIBYTE,
         }
@@ -73,7 +73,7 @@
         let head = "POST /look/0000000000000001 HTTP/1.1\r\nHost: 127.0.0.1\r\n";
         Crowd {
             connections,
-            opening: format!("{head}{framing}\r\n\r\n").into_bytes(),
+            opening: format!("{head}{framing}\r\n\r\n"),
             block,
             bytes,
         }
@@ -99,12 +99,12 @@
 }
 
 /// Connects and writes until the server takes no more or the client has written all, then stays.
-async fn abuse(address: SocketAddr, opening: Vec<u8>, block: Vec<u8>, bytes: usize) {
+async fn abuse(address: SocketAddr, opening: String, block: Vec<u8>, bytes: usize) {
     let Ok(mut stream) = TcpStream::connect(address).await else {
         return;
     };
     // An error means that the server has closed the connection, which it may.
-    let mut is_open = stream.write_all(&opening).await.is_ok();
+    let mut is_open = stream.write_all(opening.as_bytes()).await.is_ok();
     let mut written = 0;
     while is_open && written < bytes {
         is_open = stream.write_all(&block).await.is_ok();
@@ -114,8 +114,10 @@
 }
 
 fn spawn_crowd(address: SocketAddr, crowd: &Crowd) -> Vec<Task<()>> {
-    let clients = (0..crowd.connections).map(|_| {
-        let (opening, block) = (crowd.opening.clone(), crowd.block.clone());
+    let clients = (0..crowd.connections).map(|client| {
+        let number = format!("{:016x}", 0xa000 + client);
+        let opening = crowd.opening.replace("CLIENT", &number);
+        let block = crowd.block.clone();
         smol::spawn(abuse(address, opening, block, crowd.bytes))
     });
     clients.collect()
@@ -269,7 +271,7 @@
         let mut site = start(None).await?;
         let crowd = Crowd {
             connections: 300,
-            opening: Vec::new(),
+            opening: String::new(),
             block: Vec::new(),
             bytes: 0,
         };
@@ -299,3 +301,24 @@
         Ok(())
     })
 }
+
+/// Guards against heads that take far more memory than they have bytes once they are parsed.
+#[test]
+fn parsed_heads_are_bounded() -> TestResult {
+    let lines: String = (0..1_500).map(|line| format!("{line}:\r\n")).collect();
+    let request = format!("GET /none HTTP/1.1\r\nHost: 127.0.0.1\r\n{lines}\r\n");
+    let crowd = Crowd {
+        connections: 200,
+        opening: String::new(),
+        block: request.into_bytes(),
+        bytes: 4 * MEBIBYTE,
+    };
+    withstand_callers(None, crowd)
+}
+
+/// Guards against an HTTP/2 preface after which no limit applies any more.
+#[test]
+fn preface_lifts_no_limit() -> TestResult {
+    let request = format!("{}PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", bare_get("/none"));
+    withstand_callers(None, Crowd::of_requests(20, &request, 16))
+}
