runs: limit the tasks of open jobs by the machine's memory

A job of 100 bytes may have 2,000 tasks, and its caller may wait for as long as it likes: the budget of input does not bound what is open. A job that would bring the tasks of open jobs over an eighth of the machine's memory, at 1 KiB each, is refused with too_many_jobs; one job alone is always taken in.

open_tasks_are_bounded guards it.

--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -70,6 +70,12 @@
 /// Part of the stop grace that is reserved for shutting down the parts of the process.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(800);
 
+/// What a task of an open job takes at its home and its owner, with its messages, in bytes.
+const TASK_BYTES: u64 = 1_024;
+
+/// The part of the machine's memory for the tasks of open jobs: an eighth.
+const TASK_MEMORY_DIVISOR: u64 = 8;
+
 /// How long a stopping process waits until its row in the roster is removed.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -238,12 +244,19 @@
         limits: RunLimits {
             lease: Duration::from_millis(leased.lease_ms),
             max_open_jobs: settings.limits.jobs,
+            max_open_tasks: max_open_tasks(settings),
             max_intended_age: Duration::from_millis(leased.max_intended_age_ms),
             ..RunLimits::default()
         },
     }
 }
 
+/// Returns the number of tasks of open jobs for which the machine has memory.
+fn max_open_tasks(settings: &Settings) -> usize {
+    let tasks = settings.machine.memory_bytes / TASK_MEMORY_DIVISOR / TASK_BYTES;
+    usize::try_from(tasks).unwrap_or(usize::MAX)
+}
+
 fn log_start(settings: &Settings, leased: &LeasedRuns, identity: &PeerIdentity) {
     tracing::info!(
         instance = %identity.instance, incarnation = %identity.incarnation,
--- a/entry/tests/abusive_clients.rs
+++ b/entry/tests/abusive_clients.rs
@@ -316,6 +316,30 @@
     withstand_callers(None, crowd)
 }
 
+/// Guards against jobs each of which is within the limits, and whose tasks together exceed the memory.
+#[test]
+fn open_tasks_are_bounded() -> TestResult {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    smol::block_on(async {
+        let mut site = start(None).await?;
+        let address = site.instances[0].caller_address;
+        let body =
+            r#"{"Spec":"a","BestEffort":true,"Steps":[{"Count":2000,"Cpu":100,"EstimateMs":9}]}"#;
+        let crowd = Crowd {
+            connections: 120,
+            opening: format!(
+                "POST /look/CLIENT HTTP/1.1\r\nHost: {}\r\nX-Deadline-Ms: 600000\r\nContent-Length: {}\r\n\r\n{body}",
+                address.ip(),
+                body.len(),
+            ),
+            block: Vec::new(),
+            bytes: 0,
+        };
+        withstand(&mut site, address, crowd).await;
+        Ok(())
+    })
+}
+
 /// Guards against an HTTP/2 preface after which no limit applies any more.
 #[test]
 fn preface_lifts_no_limit() -> TestResult {
--- a/lib/src/runs/admitting.rs
+++ b/lib/src/runs/admitting.rs
@@ -78,7 +78,7 @@
             tracing::warn!(job = %id, ?answer, "job refused: it has a task that crashes upstreams");
             return Some(answer);
         }
-        if self.home.jobs.len() >= self.settings.limits.max_open_jobs {
+        if !self.has_room_for(spec) {
             return Some(not_run(NotRun::TooManyJobs, Some(MIN_RETRY_AFTER)));
         }
         if let Some(refusal) = self.refuse_unservable(&queue.service, spec) {
@@ -110,6 +110,15 @@
         None
     }
 
+    /// Whether the limits on open jobs and on their tasks leave room for a job; for a single one they do.
+    fn has_room_for(&self, spec: &JobSpec) -> bool {
+        let limits = &self.settings.limits;
+        let new_tasks = usize::try_from(spec.task_count()).unwrap_or(usize::MAX);
+        let tasks = self.home.task_count.saturating_add(new_tasks);
+        self.home.jobs.is_empty()
+            || (self.home.jobs.len() < limits.max_open_jobs && tasks <= limits.max_open_tasks)
+    }
+
     /// Refuses a job of a queue whose tasks have crashed too many upstreams lately.
     fn refuse_suspended(&self, queue: &JobQueueSettings, id: JobId) -> Option<RunAnswer> {
         let suspension = &self.home.crashes.suspension;
--- a/lib/src/runs/home.rs
+++ b/lib/src/runs/home.rs
@@ -94,6 +94,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Home {
     pub(crate) jobs: SlotMap<HomeJobKey, HomeJob>,
+    /// The number of tasks of all open jobs, done or not.
+    pub(crate) task_count: usize,
     pub(crate) by_id: IndexMap<JobId, HomeJobKey>,
     /// The outcomes of jobs that ended within the last [`ANSWER_RETENTION`].
     pub(crate) ended: IndexMap<JobId, JobEnd>,
@@ -222,6 +224,7 @@
         };
         job.unblock();
         log_accepted(now, &job, self.intended_version);
+        self.task_count += job.tasks.len();
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.requests.insert(request, key);
--- a/lib/src/runs/home_answers.rs
+++ b/lib/src/runs/home_answers.rs
@@ -111,6 +111,7 @@
     /// Removes a job and cancels what owners hold of it.
     fn remove(&mut self, key: HomeJobKey) -> Option<HomeJob> {
         let job = self.jobs.remove(key)?;
+        self.task_count -= job.tasks.len();
         self.by_id.swap_remove(&job.id);
         self.found.retain(|(run, _), _| run.task.job != job.id);
         for request in &job.waiters {
--- a/lib/src/runs/run_settings.rs
+++ b/lib/src/runs/run_settings.rs
@@ -39,6 +39,8 @@
     pub relisting_grace: Duration,
     /// The maximum number of open jobs.
     pub max_open_jobs: usize,
+    /// The maximum number of tasks of open jobs.
+    pub max_open_tasks: usize,
     /// The longest time since the operators' rows were read within which a queue that they do not have is
     /// denied: how long a change may take to be in force.
     pub max_intended_age: Duration,
@@ -51,6 +53,7 @@
             default_timeout: Duration::from_millis(1_500),
             relisting_grace: Duration::from_millis(2_200),
             max_open_jobs: 5_000,
+            max_open_tasks: 100_000,
             max_intended_age: Duration::from_millis(2_000),
         }
     }
