--- a/lib/src/runs/state_transfer.rs
+++ b/lib/src/runs/state_transfer.rs
@@ -1,4 +1,6 @@
-//! From which instance a newer intended state is requested, and when.
+//! From which other instance a newer intended state is requested, and when.
+//!
+//! A state may be large for the links of small instances: one copy at a time is on its way to each.
 
 use std::time::Duration;
 
@@ -57,12 +59,12 @@
         own_version: u64,
         read_as_of: Option<Timestamp>,
     ) -> bool {
-        let is_read_due = read_as_of.is_some_and(|as_of| now.since(as_of) <= MAX_READ_AGE);
+        let is_read_recent = read_as_of.is_some_and(|as_of| now.since(as_of) <= MAX_READ_AGE);
         let is_pending = self
             .pending
             .as_ref()
             .is_some_and(|pending| now < pending.expires_at);
-        if version <= own_version || is_read_due || is_pending {
+        if version <= own_version || is_read_recent || is_pending {
             return false;
         }
         let timeout = self.next_timeout.unwrap_or(FIRST_TIMEOUT);
--- a/lib/tests/intended_changes.rs
+++ b/lib/tests/intended_changes.rs
@@ -11,6 +11,9 @@
 /// How long a version may take to be in force: the shortest bound that operators set.
 const MAX_APPLY_MS: u64 = 2_000;
 
+/// The size of a state of some thousand queues.
+const LARGE_STATE_BYTES: usize = 900_000;
+
 /// What a slow link carries a millisecond: 19 Mbit/s.
 const SLOW_LINK_BYTES_PER_MS: u64 = 2_375;
 
@@ -63,24 +66,30 @@
     assert_eq!(count_serving(&mut site, "find", 1), nodes);
 }
 
-/// The name of a queue as long as a state of some thousand queues.
-fn long_queue_name() -> String {
-    "q".repeat(900_000)
-}
-
-/// Guards against copies of a large state that fill the link of the instance that waits for a newer one.
-#[test]
-fn large_states_reach_an_instance_on_a_slow_link() {
+/// A data centre of 13 instances, and the one of them with a slow link that the store does not answer.
+fn started_with_slow_link() -> (RunSite, usize) {
     let mut site = RunSite::start(&SitePlan::new(1, 13, 2));
     site.run_ms(1_000);
     let slow = 1;
     site.cut_from_store(slow, true);
     site.set_link_rate(slow, SLOW_LINK_BYTES_PER_MS);
-    let large = long_queue_name();
+    (site, slow)
+}
+
+/// Delivers a large state with this queue to all instances but one.
+fn deliver_to_others(site: &mut RunSite, node: usize, version: u64, queue: &str) {
+    let large = "q".repeat(LARGE_STATE_BYTES);
+    for other in (0..site.node_count()).filter(|other| *other != node) {
+        site.deliver_intended_state(other, version, &["look", queue, &large]);
+    }
+}
+
+/// Guards against copies of a large state that fill the link of the instance that waits for a newer one.
+#[test]
+fn large_states_reach_an_instance_on_a_slow_link() {
+    let (mut site, slow) = started_with_slow_link();
     for (version, queue) in [(2, "second"), (3, "third")] {
-        for node in (0..site.node_count()).filter(|node| *node != slow) {
-            site.deliver_intended_state(node, version, &["look", queue, &large]);
-        }
+        deliver_to_others(&mut site, slow, version, queue);
         site.run_ms(MAX_APPLY_MS);
         let id = format!("{version:016x}");
         site.submit(slow, queue, &id, &run_job(1, 1_000, 50));
@@ -93,15 +102,8 @@
 /// Guards against a state that is requested again from each instance that has it, and with each message.
 #[test]
 fn state_is_requested_once_while_it_is_on_its_way() {
-    let mut site = RunSite::start(&SitePlan::new(1, 13, 2));
-    site.run_ms(1_000);
-    let slow = 1;
-    site.cut_from_store(slow, true);
-    site.set_link_rate(slow, SLOW_LINK_BYTES_PER_MS);
-    let large = long_queue_name();
-    for node in (0..site.node_count()).filter(|node| *node != slow) {
-        site.deliver_intended_state(node, 2, &["look", &large]);
-    }
+    let (mut site, slow) = started_with_slow_link();
+    deliver_to_others(&mut site, slow, 2, "second");
     site.run_ms(MAX_APPLY_MS);
     assert_eq!(site.received_states(slow), 1);
 }
