--- a/entry/src/decision_metrics.rs
+++ b/entry/src/decision_metrics.rs
@@ -16,6 +16,7 @@
     upstream_crashes: IntCounter,
     delegations: IntCounterVec,
     refused_by_priority: IntCounter,
+    unbounded_leases: IntCounter,
 }
 
 impl DecisionMetrics {
@@ -60,6 +61,11 @@
             "Jobs refused because of the queued work of their own and earlier priorities.",
         )?;
         registry.register(Box::new(refused_by_priority.clone()))?;
+        let unbounded_leases = IntCounter::new(
+            "almondhead_unbounded_leases_total",
+            "Orders whose lease could outlast the pause after which a run's caller comes back.",
+        )?;
+        registry.register(Box::new(unbounded_leases.clone()))?;
         Ok(DecisionMetrics {
             given_up,
             retried,
@@ -68,6 +74,7 @@
             upstream_crashes,
             delegations,
             refused_by_priority,
+            unbounded_leases,
         })
     }
 
@@ -91,5 +98,6 @@
         copy(&self.orphaned, counts.orphaned());
         copy(&self.upstream_crashes, counts.upstream_crashes());
         copy(&self.refused_by_priority, counts.refused_by_priority());
+        copy(&self.unbounded_leases, counts.unbounded_leases());
     }
 }
--- a/entry/src/run_process.rs
+++ b/entry/src/run_process.rs
@@ -243,6 +243,8 @@
         overload: leased.overload,
         limits: RunLimits {
             lease: Duration::from_millis(leased.lease_ms),
+            caller_retry_pause: Duration::from_millis(leased.caller_retry_pause_ms),
+            max_stop_time: Duration::from_millis(leased.max_stop_ms),
             max_open_jobs: settings.limits.jobs,
             max_open_tasks: max_open_tasks(settings),
             max_intended_age: Duration::from_millis(leased.max_intended_age_ms),
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -64,6 +64,10 @@
     /// The longest lease that upstreams grant, in milliseconds: how long they keep running tasks
     /// whose leases are not renewed.
     pub lease_ms: u64,
+    /// How long after its connection broke a caller submits its job again, at the earliest, in milliseconds.
+    pub caller_retry_pause_ms: u64,
+    /// How long an upstream takes at most to stop a task, in milliseconds.
+    pub max_stop_ms: u64,
     /// How long a stopping process may take before it is killed, in milliseconds.
     pub stop_grace_ms: u64,
     /// The longest time since the operators' rows were read within which a request for a queue that they
@@ -255,6 +259,8 @@
     let leased_runs = LeasedRuns {
         ready_address: reader.address("ready_address"),
         lease_ms: reader.number("lease_ms", 100..=60_000, 1_000),
+        caller_retry_pause_ms: reader.number("caller_retry_pause_ms", 600..=60_000, 1_300),
+        max_stop_ms: reader.number("max_stop_ms", 0..=200, 50),
         stop_grace_ms: reader.number("stop_grace_ms", 1_000..=600_000, 6_000),
         max_intended_age_ms: reader.number("max_intended_age_ms", 100..=60_000, 2_000),
         processor_millicores: read_processor(&mut reader, problems),
--- a/lib/src/runs.rs
+++ b/lib/src/runs.rs
@@ -33,6 +33,7 @@
 pub mod intended_state;
 pub mod job_spec;
 mod learned_speed;
+mod lease_bound;
 mod leased_run;
 mod leased_upstream;
 pub mod listed_upstream;
--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -62,14 +62,24 @@
             return log_wrong_receiver(sender, &timed);
         }
         let is_fresh = freshness == Freshness::Fresh;
-        if let Some(echo) = echo.filter(|_| timed.message.shows_requests(is_fresh)) {
-            let as_of = echo.before(timed.input_age);
-            self.owner.requesters.record(sender.incarnation, as_of);
-        }
         let is_request = timed.message.is_request();
-        self.apply_message(peer, sender, is_fresh, echo, timed);
+        let wanted_as_of = echo
+            .filter(|_| timed.message.shows_requests(is_fresh))
+            .map(|echo| echo.before(timed.input_age));
         if is_request {
+            self.record_requester(sender.incarnation, wanted_as_of);
+            self.apply_message(peer, sender, is_fresh, echo, timed);
             self.watch_requester(sender.incarnation);
+        } else {
+            // What a report drops was last known to be wanted as of the message before.
+            self.apply_message(peer, sender, is_fresh, echo, timed);
+            self.record_requester(sender.incarnation, wanted_as_of);
+        }
+    }
+
+    fn record_requester(&mut self, requester: Incarnation, wanted_as_of: Option<Timestamp>) {
+        if let Some(as_of) = wanted_as_of {
+            self.owner.requesters.record(requester, as_of);
         }
     }
 
--- a/lib/src/runs/leased_run.rs
+++ b/lib/src/runs/leased_run.rs
@@ -41,8 +41,8 @@
 pub(crate) struct LeasedRun {
     /// The batch and the task that it is for; none once the run is cancelled.
     pub(crate) task: Option<(HeldBatchKey, TaskIndex)>,
-    /// The home and the number of its batch, once that was dropped.
-    pub(crate) dropped_batch: Option<(Incarnation, u64)>,
+    /// What is known of its batch, once that or its task was dropped.
+    pub(crate) dropped: Option<DroppedTask>,
     /// Whether its upstream has restarted since its start was ordered: although the next incarnation
     /// does not list it, it may have run in the one before.
     pub(crate) has_seen_restart: bool,
@@ -73,6 +73,15 @@
     pub(crate) predicted_work: Option<Duration>,
 }
 
+/// What is kept of a run's task once it was dropped, until the run has ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DroppedTask {
+    /// The home and the number of its batch.
+    pub(crate) batch: (Incarnation, u64),
+    /// The latest time as of which its home was known to want it; none if nothing is known.
+    pub(crate) wanted_as_of: Option<Timestamp>,
+}
+
 /// What the owner knows of a run from the answers to its orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -134,7 +143,7 @@
     ) -> Self {
         LeasedRun {
             task: Some(task),
-            dropped_batch: None,
+            dropped: None,
             has_seen_restart: false,
             may_start_late: false,
             is_alone: false,
--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -95,8 +95,8 @@
     pub(crate) has_missed_renew: bool,
     /// Whether a renew order is unanswered so far.
     pub(crate) is_renew_pending: bool,
-    /// Whether the last renew order extended no lease because no home had claimed a run.
-    pub(crate) awaits_claim: bool,
+    /// Whether the last renew order extended no lease because of runs that no home had claimed.
+    pub(crate) is_lease_withheld: bool,
     /// Whether only a task that has to run alone may start there.
     pub(crate) is_reserved: bool,
     /// What shows whether its process has ended.
@@ -127,7 +127,7 @@
             last_report_clock_ms: 0,
             has_missed_renew: false,
             is_renew_pending: false,
-            awaits_claim: false,
+            is_lease_withheld: false,
             is_reserved: false,
             crash_evidence: CrashEvidence::default(),
         }
@@ -268,17 +268,13 @@
 
     /// How long the lease goes on that was ordered last, as the upstream's clock is estimated.
     pub(crate) fn lease_left(&self, now: Timestamp) -> Duration {
-        let now_ms = self.furthest_clock.map(|clock| clock.estimate_ms(now));
-        let left_ms = now_ms.map_or(0, |now_ms| self.lease_until_ms.saturating_sub(now_ms));
-        Duration::from_millis(left_ms)
+        self.time_until(now, self.lease_until_ms)
     }
 
-    /// Whether runs of earlier owners go on there and no home has claimed one of them.
-    ///
-    /// Their lease must not be extended: their homes may have ended, and an owner that renews the
-    /// lease until it stops them may be followed by another one that does the same.
-    pub(crate) fn has_only_unclaimed_runs(&self) -> bool {
-        self.runs.is_empty() && !self.unclaimed_runs.is_empty()
+    /// How long it takes until its clock, as estimated, shows this time; zero without a clock reading.
+    pub(crate) fn time_until(&self, now: Timestamp, clock_ms: u64) -> Duration {
+        let now_ms = self.furthest_clock.map(|clock| clock.estimate_ms(now));
+        Duration::from_millis(now_ms.map_or(0, |now_ms| clock_ms.saturating_sub(now_ms)))
     }
 
     /// Remembers the end of a run that this instance did not order, and forgets the oldest one beyond
--- a/lib/src/runs/owner.rs
+++ b/lib/src/runs/owner.rs
@@ -2,7 +2,6 @@
 //! this instance owns, and reports how they end.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -14,6 +13,7 @@
 use super::held_batch::TaskIndex;
 use super::held_queue::LeastSlack;
 use super::held_queue::QueueRanking;
+use super::lease_bound::LeaseBound;
 use super::leased_upstream::LeasedUpstream;
 use super::listed_upstream::ListedUpstream;
 use super::listing_knowledge::ListingKnowledge;
@@ -109,8 +109,10 @@
 /// The upstreams that this instance owns and the batches that it holds for homes.
 #[derive(Debug)]
 pub(crate) struct Owner {
-    /// How long each lease lasts.
-    pub(crate) lease: Duration,
+    /// How long leases may last.
+    pub(crate) lease_bound: LeaseBound,
+    /// The number of orders whose lease lasted longer.
+    pub(crate) unbounded_leases: u64,
     pub(crate) upstreams: SlotMap<LeasedUpstreamKey, LeasedUpstream>,
     pub(crate) by_id: IndexMap<Arc<str>, LeasedUpstreamKey>,
     pub(crate) batches: SlotMap<HeldBatchKey, HeldBatch>,
@@ -157,9 +159,10 @@
 }
 
 impl Owner {
-    pub(crate) fn new(lease: Duration) -> Self {
+    pub(crate) fn new(lease_bound: LeaseBound) -> Self {
         Owner {
-            lease,
+            lease_bound,
+            unbounded_leases: 0,
             upstreams: SlotMap::with_key(),
             by_id: IndexMap::new(),
             batches: SlotMap::with_key(),
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -307,6 +307,7 @@
         match answer {
             OrderAnswer::Renewed(report) => {
                 self.apply_report(now, upstream_key, answered, report);
+                self.extend_withheld_lease(now, upstream_key);
             }
             OrderAnswer::Refused { refusal, .. } => {
                 self.renew_refused(now, upstream_key, refusal);
@@ -411,10 +412,13 @@
         let Some(upstream) = self.upstreams.get(upstream_key) else {
             return;
         };
-        let Some(leased) = upstream.runs.get(&run) else {
-            return;
+        let reason = match upstream.runs.get(&run).map(|leased| leased.phase) {
+            Some(RunPhase::Stopping { reason, .. }) => Some(reason),
+            Some(_) => None,
+            None if upstream.unclaimed_runs.contains_key(&run) => Some(StopReason::Unclaimed),
+            None => None,
         };
-        if let RunPhase::Stopping { reason, .. } = leased.phase {
+        if let Some(reason) = reason {
             self.stop(now, upstream_key, run, reason);
         }
     }
--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -8,6 +8,7 @@
 use super::held_batch::HeldBatch;
 use super::held_batch::HeldState;
 use super::held_batch::TaskIndex;
+use super::leased_run::DroppedTask;
 use super::leased_run::LeasedRun;
 use super::leased_run::RunPhase;
 use super::leased_run::StopReason;
@@ -170,7 +171,7 @@
         };
         upstream.runs.insert(run, leased);
         tracing::info!(job = %run.task.job, run = %run, upstream = id, "run adopted");
-        self.extend_claimed_lease(now, upstream_key);
+        self.extend_withheld_lease(now, upstream_key);
         true
     }
 
@@ -235,9 +236,14 @@
         run: RunId,
         batch: (Incarnation, u64),
     ) {
+        // What the home still wants later says nothing of this run any more.
+        let wanted_as_of = self.requesters.as_of(batch.0);
         let upstream = self.upstreams.get_mut(upstream_key);
         if let Some(leased) = upstream.and_then(|upstream| upstream.runs.get_mut(&run)) {
-            leased.dropped_batch = Some(batch);
+            leased.dropped = Some(DroppedTask {
+                batch,
+                wanted_as_of,
+            });
         }
         self.stop(now, upstream_key, run, StopReason::Cancelled);
     }
@@ -334,7 +340,7 @@
             .upstreams
             .values()
             .flat_map(|upstream| upstream.runs.values());
-        let stopping = runs.filter_map(|run| run.dropped_batch);
+        let stopping = runs.filter_map(|run| run.dropped.map(|dropped| dropped.batch));
         let possibly_running = self
             .possibly_running
             .iter()
--- a/lib/src/runs/owner_contact.rs
+++ b/lib/src/runs/owner_contact.rs
@@ -13,6 +13,7 @@
 use super::owner::OwnerTimer;
 use super::owner::PendingKind;
 use super::owner::SupersededStart;
+use super::peer_table::MAX_MESSAGE_AGE;
 use super::run_id::HeldBatchKey;
 use super::run_id::LeasedUpstreamKey;
 use super::run_id::OrderId;
@@ -21,10 +22,6 @@
 use super::run_order::RunOrder;
 use crate::time::Timestamp;
 
-/// How long a run that no home claims may go on under a newer owner: that owner stops it after the
-/// claim timeout, and if the stop does not arrive, its lease of a second expires.
-const MAX_RUN_UNDER_NEWER_OWNER: Duration = Duration::from_millis(1_400);
-
 /// How long a renew order may wait for an end while something runs.
 ///
 /// Most are answered sooner, by an end. A lost answer delays the reports of ends by this time.
@@ -46,6 +43,12 @@
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(5);
 
 impl Owner {
+    /// How long a run that no home claims may go on under a newer owner, which extends no lease for it; the
+    /// last lease of this owner may reach the upstream as late as a message may be.
+    fn max_run_under_newer_owner(&self) -> Duration {
+        self.lease_bound.longest_lease() + MAX_MESSAGE_AGE
+    }
+
     /// Reports that a run may go on under a newer owner.
     ///
     /// The report may get lost, so its batch counts as held until the run must have ended.
@@ -59,7 +62,7 @@
         if let Some(batch) = self.batches.get(batch_key) {
             let name = (batch.home, batch.number);
             self.possibly_running
-                .insert(name, now + MAX_RUN_UNDER_NEWER_OWNER);
+                .insert(name, now + self.max_run_under_newer_owner());
         }
         let upstream = upstream.clone();
         self.report(batch_key, index, RunEnd::TakenOver { upstream });
@@ -67,8 +70,6 @@
 
     /// Sends an order that renews the leases on an upstream and waits for ends, unless one is pending.
     pub(crate) fn renew(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
-        // A run that starts on an idle upstream brings its own lease.
-        let lease = self.lease_on(now, upstream_key, None);
         let Some(upstream) = self.upstreams.get_mut(upstream_key) else {
             return;
         };
@@ -78,19 +79,20 @@
         upstream.is_renew_pending = true;
         let wait = match upstream.contact {
             Contact::Reachable if upstream.has_missed_renew => Duration::ZERO,
-            Contact::Reachable if upstream.has_only_unclaimed_runs() => BUSY_RENEW_WAIT,
+            Contact::Reachable if !upstream.unclaimed_runs.is_empty() => BUSY_RENEW_WAIT,
             Contact::Reachable if upstream.runs.is_empty() => IDLE_RENEW_WAIT,
             Contact::Reachable => BUSY_RENEW_WAIT,
             _ => Duration::ZERO,
         };
-        upstream.awaits_claim = upstream.has_only_unclaimed_runs();
+        upstream.is_lease_withheld = !upstream.unclaimed_runs.is_empty();
         // Leases are not renewed on an upstream that does not answer, so that they expire in time.
-        let lease_until_ms = match upstream.contact {
-            Contact::Reachable if !upstream.has_missed_renew && !upstream.awaits_claim => {
-                lease.and_then(|lease| upstream.extend_lease(now, lease))
-            }
-            _ => None,
+        let is_renewed = upstream.contact == Contact::Reachable && !upstream.has_missed_renew;
+        // A run that starts on an idle upstream brings its own lease.
+        let lease_until_ms = match is_renewed {
+            true => self.extend_lease(now, upstream_key, None),
+            false => None,
         };
+        let upstream = &self.upstreams[upstream_key];
         let order = RunOrder::Renew {
             lease_until_ms,
             fence: upstream.fence,
@@ -105,19 +107,8 @@
         self.send_probe(now, upstream_key, None);
     }
 
-    /// Extends the leases on an upstream where a home has claimed the first run, if the renew order
-    /// that is waiting did not.
-    pub(crate) fn extend_claimed_lease(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey) {
-        let lease = self.lease_on(now, upstream_key, None);
-        let upstream = &mut self.upstreams[upstream_key];
-        if !std::mem::take(&mut upstream.awaits_claim) {
-            return;
-        }
-        let lease_until_ms = lease.and_then(|lease| upstream.extend_lease(now, lease));
-        self.send_probe(now, upstream_key, lease_until_ms);
-    }
-
-    fn send_probe(
+    /// Polls an upstream for an immediate report, and extends its leases to `lease_until_ms` on its clock.
+    pub(crate) fn send_probe(
         &mut self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
@@ -256,9 +247,9 @@
             });
         let starts: IndexMap<RunId, OrderId> = starts.collect();
         for (run, leased) in upstream.runs {
-            if let Some(batch) = leased.dropped_batch {
-                self.possibly_running
-                    .insert(batch, now + MAX_RUN_UNDER_NEWER_OWNER);
+            if let Some(dropped) = leased.dropped {
+                let ends_at = now + self.max_run_under_newer_owner();
+                self.possibly_running.insert(dropped.batch, ends_at);
             }
             let Some(task) = leased.task else {
                 continue;
--- a/lib/src/runs/owner_leases.rs
+++ b/lib/src/runs/owner_leases.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use super::leased_upstream::Contact;
+use super::leased_upstream::LeasedUpstream;
 use super::owner::Owner;
-use super::requester_contacts::MAX_OPEN_INPUT_AGE;
 use super::run_id::LeasedUpstreamKey;
+use super::run_order::RunOrder;
+use super::whole_ms::whole_ms;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
 
@@ -16,31 +19,104 @@
         upstream_key: LeasedUpstreamKey,
         home: Incarnation,
     ) -> bool {
-        let Some(age) = self.requesters.age(now, home) else {
+        let Some(wanted_as_of) = self.requesters.as_of(home) else {
             return false;
         };
         let left = self.upstreams[upstream_key].lease_left(now);
-        left.saturating_add(age) <= MAX_OPEN_INPUT_AGE
+        self.lease_bound.allows(now, wanted_as_of, left)
     }
 
-    /// How long a lease on an upstream may last from now on, with a run of `starting` beside those that
-    /// are there; none while the lease must not be extended.
+    /// Extends the lease on an upstream as far as all of its runs allow, with a run of `starting` beside
+    /// them; returns its end on the upstream's clock, or none if it must not be extended.
     ///
-    /// Every lease ends before a caller can come back of whom its home has not read that it has left:
-    /// the owner may be frozen by then and unable to stop the run. A lease on an upstream is one for
-    /// all of its runs.
-    pub(crate) fn lease_on(
+    /// A lease on an upstream is one for all of its runs, and every order that extends one gets its end
+    /// here.
+    pub(crate) fn extend_lease(
+        &mut self,
+        now: Timestamp,
+        upstream_key: LeasedUpstreamKey,
+        starting: Option<Incarnation>,
+    ) -> Option<u64> {
+        let lease = self.lease_on(now, upstream_key, starting)?;
+        self.upstreams[upstream_key].extend_lease(now, lease)
+    }
+
+    /// How long a lease on an upstream may last from now on; none while it must not be extended.
+    fn lease_on(
         &self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
         starting: Option<Incarnation>,
     ) -> Option<Duration> {
-        let runs = self.upstreams.get(upstream_key)?.runs.values();
-        let batches = runs.filter_map(|run| self.batches.get(run.task?.0));
-        let homes = batches.map(|batch| batch.home).chain(starting);
-        let ages = homes.map(|home| self.requesters.age(now, home));
-        let oldest = ages.map(|age| age.unwrap_or(MAX_OPEN_INPUT_AGE)).max()?;
-        let left = MAX_OPEN_INPUT_AGE.saturating_sub(oldest);
-        (!left.is_zero()).then(|| self.lease.min(left))
+        let upstream = self.upstreams.get(upstream_key)?;
+        let starting = starting.map(|home| self.requesters.as_of(home));
+        let wanted = self.wanted_times(upstream).chain(starting);
+        // A run of which nothing is known comes before all others.
+        let oldest = wanted.min()??;
+        self.lease_bound.lease_at(now, oldest)
+    }
+
+    /// For each run that may be on an upstream, the latest time as of which its caller is known to have
+    /// waited for it; none where nothing is known.
+    fn wanted_times<'a>(
+        &'a self,
+        upstream: &'a LeasedUpstream,
+    ) -> impl Iterator<Item = Option<Timestamp>> + 'a {
+        let ordered = upstream.runs.values().map(|run| match run.task {
+            Some((batch_key, _)) => {
+                let home = self.batches.get(batch_key).map(|batch| batch.home);
+                home.and_then(|home| self.requesters.as_of(home))
+            }
+            None => run.dropped.and_then(|dropped| dropped.wanted_as_of),
+        });
+        // Their homes may have ended, however recently their last owner extended the lease.
+        let unclaimed = upstream.unclaimed_runs.values().map(|_| None);
+        ordered.chain(unclaimed)
+    }
+
+    /// Sends an order with a lease as soon as the runs are gone or claimed that kept the last renew order
+    /// from extending it.
+    pub(crate) fn extend_withheld_lease(
+        &mut self,
+        now: Timestamp,
+        upstream_key: LeasedUpstreamKey,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(upstream_key) else {
+            return;
+        };
+        let is_due = upstream.is_lease_withheld
+            && upstream.unclaimed_runs.is_empty()
+            && upstream.contact == Contact::Reachable;
+        if !is_due {
+            return;
+        }
+        upstream.is_lease_withheld = false;
+        let lease_until_ms = self.extend_lease(now, upstream_key, None);
+        self.send_probe(now, upstream_key, lease_until_ms);
+    }
+
+    /// Counts an order whose lease ends later than one of the runs on its upstream allows.
+    pub(crate) fn check_ordered_lease(
+        &mut self,
+        now: Timestamp,
+        upstream_key: LeasedUpstreamKey,
+        order: &RunOrder,
+    ) {
+        let Some(lease_until_ms) = order.lease_until_ms() else {
+            return;
+        };
+        let upstream = &self.upstreams[upstream_key];
+        let left = upstream.time_until(now, lease_until_ms);
+        let is_allowed = |as_of| self.lease_bound.allows(now, as_of, left);
+        if self
+            .wanted_times(upstream)
+            .all(|as_of| as_of.is_some_and(is_allowed))
+        {
+            return;
+        }
+        let (id, left_ms) = (&upstream.listed.id, whole_ms(left));
+        tracing::error!(upstream = %id, left_ms, "lease outlasts the pause of a run's caller");
+        self.unbounded_leases += 1;
+        debug_assert!(false, "a lease outlasts the pause of a run's caller");
     }
 }
--- a/lib/src/runs/owner_reports.rs
+++ b/lib/src/runs/owner_reports.rs
@@ -31,7 +31,7 @@
         answered: AnsweredOrder,
         report: RenewReport,
     ) -> bool {
-        let lease = self.lease;
+        let lease = self.lease_bound.lease();
         let upstream = &mut self.upstreams[upstream_key];
         if upstream.is_outdated(answered.order, report.born_unix_ms) {
             let (upstream, born_unix_ms) = (&upstream.listed.id, report.born_unix_ms);
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -228,10 +228,7 @@
         task: TaskIndex,
     ) -> bool {
         let home = self.batches[batch_key].home;
-        let lease = self.lease_on(now, upstream_key, Some(home));
-        let upstream = &mut self.upstreams[upstream_key];
-        let lease_until_ms = lease.and_then(|lease| upstream.extend_lease(now, lease));
-        let Some(lease_until_ms) = lease_until_ms else {
+        let Some(lease_until_ms) = self.extend_lease(now, upstream_key, Some(home)) else {
             return false;
         };
         let batch = &mut self.batches[batch_key];
@@ -322,6 +319,7 @@
         kind: PendingKind,
         order: RunOrder,
     ) {
+        self.check_ordered_lease(now, upstream_key, &order);
         let order_id = OrderId(self.next_order_id);
         self.next_order_id += 1;
         let pending = PendingOrder {
--- a/lib/src/runs/requester_contacts.rs
+++ b/lib/src/runs/requester_contacts.rs
@@ -4,7 +4,6 @@
 
 use indexmap::IndexMap;
 
-use super::peer_table::MAX_CLOCK_DRIFT_PERCENT;
 use super::peer_table::PEER_TIMEOUT;
 use crate::id::Incarnation;
 use crate::time::Timestamp;
@@ -17,19 +16,6 @@
 /// Another instance may vouch for a job that is delegated to it for as long as both limits together.
 pub(crate) const MAX_OPEN_INPUT_AGE: Duration = MAX_REQUESTER_AGE.saturating_mul(2);
 
-/// How long after its connection broke a caller submits its job again, at the earliest.
-const CALLER_RETRY_PAUSE: Duration = Duration::from_millis(1_300);
-
-/// How long an upstream takes to stop a run.
-const MAX_STOP_TIME: Duration = Duration::from_millis(50);
-
-/// An instance that delegates a job vouches for its caller, and the job's home vouches for the job at
-/// the owners of its tasks. The runs of a caller that has left must have ended when it comes back.
-const _: () = {
-    let vouched_ms = MAX_OPEN_INPUT_AGE.as_millis() * (100 + MAX_CLOCK_DRIFT_PERCENT as u128) / 100;
-    assert!(vouched_ms + MAX_STOP_TIME.as_millis() < CALLER_RETRY_PAUSE.as_millis());
-};
-
 /// The latest time, on this instance's clock, of which each requester is known to have wanted what it
 /// had requested.
 ///
@@ -53,9 +39,15 @@
         self.as_of.swap_remove(&requester);
     }
 
+    /// The latest time of which a requester is known to have wanted what it had requested; none when there
+    /// is none.
+    pub(crate) fn as_of(&self, requester: Incarnation) -> Option<Timestamp> {
+        self.as_of.get(&requester).copied()
+    }
+
     /// How old the latest knowledge of a requester is; none when there is none.
     pub(crate) fn age(&self, now: Timestamp, requester: Incarnation) -> Option<Duration> {
-        self.as_of.get(&requester).map(|as_of| now.since(*as_of))
+        self.as_of(requester).map(|as_of| now.since(as_of))
     }
 
     /// Whether the knowledge of a requester is recent enough for something of it to start or to go on.
@@ -66,7 +58,6 @@
 
     /// When the knowledge of a requester becomes too old, unless a message comes first.
     pub(crate) fn expires_at(&self, requester: Incarnation) -> Option<Timestamp> {
-        let as_of = self.as_of.get(&requester)?;
-        Some(*as_of + MAX_REQUESTER_AGE)
+        self.as_of(requester).map(|as_of| as_of + MAX_REQUESTER_AGE)
     }
 }
--- a/lib/src/runs/run_counts.rs
+++ b/lib/src/runs/run_counts.rs
@@ -26,6 +26,7 @@
     pub(crate) orphaned: u64,
     pub(crate) upstream_crashes: u64,
     pub(crate) refused_by_priority: u64,
+    pub(crate) unbounded_leases: u64,
 }
 
 impl RunCounts {
@@ -100,6 +101,12 @@
         self.refused_by_priority
     }
 
+    /// The number of orders whose lease could outlast the pause after which a run's caller comes back; an
+    /// error in the program if not zero.
+    pub fn unbounded_leases(&self) -> u64 {
+        self.unbounded_leases
+    }
+
     /// How often a run was orphaned: it may go on, and no reachable owner reports it.
     pub fn orphaned(&self) -> u64 {
         self.orphaned
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -16,6 +16,7 @@
 use super::home::Home;
 use super::input_horizon::InputHorizon;
 use super::intended_state::IntendedState;
+use super::lease_bound::LeaseBound;
 use super::listing_relay::ListingRelay;
 use super::overload::OverloadPolicy;
 use super::owner::Owner;
@@ -137,7 +138,7 @@
             now: Timestamp::ZERO,
             actions: Vec::new(),
             home: Home::default(),
-            owner: Owner::new(limits.lease),
+            owner: Owner::new(LeaseBound::new(&limits)),
             peers: PeerTable::default(),
             listing: UpstreamListing::new(limits.relisting_grace),
             intended: None,
@@ -211,6 +212,8 @@
     /// A snapshot of the state, for metrics and status pages.
     pub fn status(&self) -> RunStatus {
         let upstreams = self.owner.upstreams.values();
+        let mut counts = self.home.counts;
+        counts.unbounded_leases = self.owner.unbounded_leases;
         RunStatus {
             intended_version: self.intended_version(),
             roster_version: self.roster.version,
@@ -237,7 +240,7 @@
                 .values()
                 .filter(|peer| peer.is_reachable(self.now))
                 .count(),
-            counts: self.home.counts,
+            counts,
             delegated_jobs: self.sent_jobs.len(),
             delegation: self.sent_jobs.counts,
         }
--- a/lib/src/runs/run_order.rs
+++ b/lib/src/runs/run_order.rs
@@ -54,6 +54,17 @@
     },
 }
 
+impl RunOrder {
+    /// When the lease that it grants ends on the upstream's clock, in milliseconds; none without a lease.
+    pub(crate) fn lease_until_ms(&self) -> Option<u64> {
+        match self {
+            RunOrder::Start { lease_until_ms, .. } => Some(*lease_until_ms),
+            RunOrder::Renew { lease_until_ms, .. } => *lease_until_ms,
+            RunOrder::Stop { .. } => None,
+        }
+    }
+}
+
 /// The outcome of sending an order.
 #[value]
 pub enum OrderAnswer {
--- a/lib/src/runs/run_settings.rs
+++ b/lib/src/runs/run_settings.rs
@@ -30,6 +30,11 @@
     /// The lease that orders ask for, the longest that upstreams grant: how long runs go on
     /// without a renewal.
     pub lease: Duration,
+    /// How long after its connection broke a caller submits its job again, at the earliest. No lease ends
+    /// later for a run whose caller may have left.
+    pub caller_retry_pause: Duration,
+    /// How long an upstream takes at most to stop a run.
+    pub max_stop_time: Duration,
     /// The timeout of a request whose caller names no time, on a queue without a timeout.
     pub default_timeout: Duration,
     /// How long upstreams may take to list themselves again after an outage of the platform's store.
@@ -50,6 +55,8 @@
     fn default() -> Self {
         RunLimits {
             lease: Duration::from_millis(1_000),
+            caller_retry_pause: Duration::from_millis(1_300),
+            max_stop_time: Duration::from_millis(50),
             default_timeout: Duration::from_millis(1_500),
             relisting_grace: Duration::from_millis(2_200),
             max_open_jobs: 5_000,
--- a/lib/testsupport/src/run_site.rs
+++ b/lib/testsupport/src/run_site.rs
@@ -12,6 +12,7 @@
 mod site;
 mod site_actions;
 mod site_inputs;
+mod site_leases;
 mod site_messages;
 mod site_observations;
 mod site_orders;
--- a/lib/testsupport/src/run_site/node.rs
+++ b/lib/testsupport/src/run_site/node.rs
@@ -62,6 +62,8 @@
     /// The processor capacity that its row in the roster names.
     pub(super) processor_millicores: Option<u32>,
     pub(super) overload: OverloadPolicy,
+    /// The durations and bounds of its processes.
+    pub(super) limits: RunLimits,
     /// The number of processes started so far for this instance.
     pub(super) incarnation: u64,
     /// None while the instance is killed.
@@ -110,6 +112,7 @@
             data_centre: Arc::from(data_centre),
             processor_millicores: None,
             overload: OverloadPolicy::default(),
+            limits: RunLimits::default(),
             incarnation: 0,
             dispatcher: None,
             started_at: Timestamp::ZERO,
@@ -160,7 +163,7 @@
             data_centre: self.data_centre.clone(),
             incarnation: self.incarnation(),
             overload: self.overload,
-            limits: RunLimits::default(),
+            limits: self.limits,
         };
         self.dispatcher = Some(RunDispatcher::new(settings, Box::new(QueueNamesDecoder)));
     }
--- a/lib/testsupport/src/run_site/plan.rs
+++ b/lib/testsupport/src/run_site/plan.rs
@@ -1,7 +1,10 @@
 //! The plan of a simulated site.
 
+use std::time::Duration;
+
 use almondhead_lib::runs::intended_state::JobQueueSettings;
 use almondhead_lib::runs::overload::OverloadPolicy;
+use almondhead_lib::runs::run_settings::RunLimits;
 
 use super::job::run_queue;
 
@@ -23,6 +26,8 @@
     pub processor_millicores: Vec<u32>,
     /// What gives way under overload.
     pub overload: OverloadPolicy,
+    /// How long after its connection broke a caller submits its job again, at the earliest.
+    pub caller_retry_pause: Duration,
     /// The job queues of the intended state.
     pub queues: Vec<JobQueueSettings>,
     /// The seed of the random numbers.
@@ -41,6 +46,7 @@
             speeds: vec![1.0],
             processor_millicores: Vec::new(),
             overload: OverloadPolicy::default(),
+            caller_retry_pause: RunLimits::default().caller_retry_pause,
             queues: vec![run_queue("look", 0, 3)],
             seed: 1,
         }
--- a/lib/testsupport/src/run_site/site.rs
+++ b/lib/testsupport/src/run_site/site.rs
@@ -143,6 +143,12 @@
     pub(super) upstream_paths: IndexMap<(usize, usize), PathLoss>,
     pub(super) is_store_down: bool,
     pub(super) order_fault: OrderFault,
+    /// Whether all stops are carried out late.
+    pub(super) delays_stops: bool,
+    /// When the callers left that have not come back; see [`RunSite::long_leases`].
+    pub(super) departures: IndexMap<String, Timestamp>,
+    pub(super) long_leases: Vec<String>,
+    pub(super) caller_retry_pause: Duration,
     pub(super) message_fault: MessageFault,
     /// The (sender, receiver) pairs of nodes that have no connection.
     pub(super) refused_pairs: IndexSet<(usize, usize)>,
@@ -211,6 +217,10 @@
             upstream_paths: IndexMap::new(),
             is_store_down: false,
             order_fault: OrderFault::default(),
+            delays_stops: false,
+            departures: IndexMap::new(),
+            long_leases: Vec::new(),
+            caller_retry_pause: plan.caller_retry_pause,
             message_fault: MessageFault::default(),
             refused_pairs: IndexSet::new(),
             caller_wait: Some(Duration::from_millis(1_500)),
@@ -239,6 +249,7 @@
                 let capacities = plan.processor_millicores.iter().cycle();
                 node.processor_millicores = capacities.copied().nth(number as usize);
                 node.overload = plan.overload;
+                node.limits.caller_retry_pause = plan.caller_retry_pause;
                 site.nodes.push(node);
                 site.delivered_listings.push(IndexSet::new());
             }
--- a/lib/testsupport/src/run_site/site_actions.rs
+++ b/lib/testsupport/src/run_site/site_actions.rs
@@ -47,6 +47,7 @@
         job: &JobSpec,
         work: Duration,
     ) {
+        self.departures.swap_remove(id);
         let job = Arc::new(job.clone());
         self.jobs.insert(id.to_owned(), (job.clone(), work));
         *self.submissions.entry(id.to_owned()).or_default() += 1;
@@ -90,12 +91,14 @@
             .iter()
             .rfind(|(_, (requested, _))| requested == id);
         if let Some((node, request)) = found.map(|(key, _)| *key) {
+            self.record_departure(id.to_owned());
             self.deliver(node, RunEvent::RequestDropped { request });
         }
     }
 
     /// Kills an instance.
     pub fn kill(&mut self, node: usize) {
+        self.record_departures(node);
         self.nodes[node].dispatcher = None;
         self.nodes[node].is_frozen = false;
     }
@@ -235,6 +238,11 @@
         self.order_fault = fault;
     }
 
+    /// Lets no stop be answered from now on, and carries each out seconds late; or ends that.
+    pub fn delay_stops(&mut self, is_on: bool) {
+        self.delays_stops = is_on;
+    }
+
     /// Sets the fault of an upstream, or ends it with `None`.
     pub fn set_upstream_fault(&mut self, upstream: usize, fault: Option<UpstreamFault>) {
         self.upstreams[upstream].fault = fault;
--- a/lib/testsupport/src/run_site/site_observations.rs
+++ b/lib/testsupport/src/run_site/site_observations.rs
@@ -27,6 +27,12 @@
         (self.orders, self.messages)
     }
 
+    /// Returns a text for each run whose lease was extended beyond the time at which its caller, who had
+    /// left by then, may come back.
+    pub fn long_leases(&self) -> &[String] {
+        &self.long_leases
+    }
+
     /// The upstreams that deadly tasks have crashed so far, by job.
     pub fn crashes(&self, id: &str) -> usize {
         self.crashes.get(id).copied().unwrap_or(0)
@@ -42,6 +48,12 @@
         self.upstreams.iter().map(|state| state.runs.len()).sum()
     }
 
+    /// Returns the number of runs of a job that are in progress.
+    pub fn running_tasks(&self, id: &str) -> usize {
+        let runs = self.upstreams.iter().flat_map(|state| state.runs.keys());
+        runs.filter(|run| run.task.job.as_str() == id).count()
+    }
+
     /// Returns the version of the intended state that an instance has, zero if it has none.
     pub fn intended_version(&self, node: usize) -> u64 {
         let dispatcher = self.nodes[node].dispatcher.as_ref();
--- a/lib/testsupport/src/run_site/site_orders.rs
+++ b/lib/testsupport/src/run_site/site_orders.rs
@@ -59,7 +59,8 @@
         let draw = self.random_below(100);
         let late = u64::from(self.order_fault.late_percent);
         let unanswered = late + u64::from(self.order_fault.unanswered_percent);
-        let is_late = draw < late;
+        let is_stop = matches!(run_order, RunOrder::Stop { .. });
+        let is_late = draw < late || (is_stop && self.delays_stops);
         let delay = match is_late {
             true => Duration::from_millis(2_000 + self.random_below(8_000)),
             false => ORDER_DELAY,
@@ -74,7 +75,7 @@
             }
             _ => {}
         }
-        let is_answered = draw >= unanswered;
+        let is_answered = !is_late && draw >= unanswered;
         let order = ScheduledEvent::Order {
             node,
             incarnation,
@@ -138,11 +139,13 @@
                         is_answer_lost: !is_answered,
                     });
                     self.schedule(*wait, ScheduledEvent::RenewWaitOver(upstream));
+                    self.check_lease(upstream);
                     return self.advance(upstream);
                 }
                 result.map(|()| OrderAnswer::Renewed(state.report(now)))
             }
         };
+        self.check_lease(upstream);
         let answer = result.unwrap_or_else(|refusal| OrderAnswer::Refused { refusal, clock_ms });
         if is_answered && !self.is_answer_lost(node, upstream) {
             self.answer_order(node, incarnation, order, answer, ORDER_DELAY);
