--- a/lib/src/runs/dispatcher_messages.rs
+++ b/lib/src/runs/dispatcher_messages.rs
@@ -67,37 +67,40 @@
             .filter(|_| timed.message.shows_requests(is_fresh))
             .map(|echo| echo.before(timed.input_age));
         if is_request {
-            self.record_requester(sender.incarnation, wanted_as_of);
-            self.apply_message(peer, sender, is_fresh, echo, timed);
+            if let Some(as_of) = wanted_as_of {
+                self.owner.requesters.record(sender.incarnation, as_of);
+            }
+            self.apply_message(peer, sender, is_fresh, echo, wanted_as_of, timed);
             self.watch_requester(sender.incarnation);
         } else {
             // What a report drops was last known to be wanted as of the message before.
-            self.apply_message(peer, sender, is_fresh, echo, timed);
-            self.record_requester(sender.incarnation, wanted_as_of);
-        }
-    }
-
-    fn record_requester(&mut self, requester: Incarnation, wanted_as_of: Option<Timestamp>) {
-        if let Some(as_of) = wanted_as_of {
-            self.owner.requesters.record(requester, as_of);
+            self.apply_message(peer, sender, is_fresh, echo, None, timed);
+            if let Some(as_of) = wanted_as_of {
+                let contacts = &mut self.owner.requesters;
+                contacts.record_report(sender.incarnation, as_of);
+            }
         }
     }
 
-    /// Applies a message for this incarnation; `echo` is the sender's estimate of this instance's clock.
+    /// Applies a message for this incarnation; `echo` is the sender's estimate of this instance's clock, and
+    /// `as_of` the time of which a request shows that callers waited for it.
     fn apply_message(
         &mut self,
         peer: PeerKey,
         sender: &PeerIdentity,
         is_fresh: bool,
         echo: Option<Timestamp>,
+        as_of: Option<Timestamp>,
         timed: TimedRunMessage,
     ) {
         let (now, home, owner) = (self.now, sender.incarnation, OwnerRef::Peer(peer));
         let (name, sent_at) = (&sender.instance, timed.sent_at);
         match timed.message {
-            RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, batch),
-            RunMessage::Place(batch) => self.owner.refuse_stale(now, home, batch),
-            RunMessage::Adopt { upstream, batch } => self.owner.adopt(now, home, &upstream, batch),
+            RunMessage::Place(batch) if is_fresh => self.owner.place(now, home, as_of, batch),
+            RunMessage::Place(batch) => self.owner.refuse_stale(now, home, as_of, batch),
+            RunMessage::Adopt { upstream, batch } => {
+                self.owner.adopt(now, home, as_of, &upstream, batch);
+            }
             RunMessage::Ends(ends) => {
                 self.record_versions(peer, &ends.digest);
                 self.record_digest(peer, ends.digest);
--- a/lib/src/runs/dispatcher_outputs.rs
+++ b/lib/src/runs/dispatcher_outputs.rs
@@ -59,7 +59,7 @@
         match output {
             HomeOutput::Answer { request, answer } => self.answer(request, answer),
             HomeOutput::Place { owner, batch } => match owner {
-                OwnerRef::Own => self.owner.place(now, own, batch),
+                OwnerRef::Own => self.owner.place(now, own, None, batch),
                 OwnerRef::Peer(peer) => self.send(peer, RunMessage::Place(batch)),
             },
             HomeOutput::Adopt {
@@ -67,7 +67,7 @@
                 upstream,
                 batch,
             } => match owner {
-                OwnerRef::Own => self.owner.adopt(now, own, &upstream, batch),
+                OwnerRef::Own => self.owner.adopt(now, own, None, &upstream, batch),
                 // Counts as lost on the way: the callers may have left. The owner stops the runs.
                 OwnerRef::Peer(_) if !self.inputs.is_current(now) => {}
                 OwnerRef::Peer(peer) => self.send(peer, RunMessage::Adopt { upstream, batch }),
--- a/lib/src/runs/held_batch.rs
+++ b/lib/src/runs/held_batch.rs
@@ -24,6 +24,9 @@
 #[derive(Debug)]
 pub(crate) struct HeldBatch {
     pub(crate) home: Incarnation,
+    /// The time of which the message with the batch shows that the callers of its job waited; none if it shows
+    /// none.
+    pub(crate) requested_as_of: Option<Timestamp>,
     /// The home's number of the batch.
     pub(crate) number: u64,
     pub(crate) job: JobId,
@@ -81,7 +84,12 @@
 
 impl HeldBatch {
     /// A batch that arrived now; none when a task names a step without a demand.
-    pub(crate) fn new(home: Incarnation, batch: RunBatch, now: Timestamp) -> Option<Self> {
+    pub(crate) fn new(
+        home: Incarnation,
+        batch: RunBatch,
+        requested_as_of: Option<Timestamp>,
+        now: Timestamp,
+    ) -> Option<Self> {
         let mut tasks = Vec::with_capacity(batch.tasks.len());
         for placed in batch.tasks {
             let of_step = |demand: &StepDemand| demand.step == placed.step;
@@ -95,6 +103,7 @@
         let now_us = i64::try_from(now.as_us()).unwrap_or(i64::MAX);
         Some(HeldBatch {
             home,
+            requested_as_of,
             number: batch.number,
             job: batch.job,
             service: batch.service,
--- a/lib/src/runs/owner_batches.rs
+++ b/lib/src/runs/owner_batches.rs
@@ -32,8 +32,14 @@
 
 impl Owner {
     /// Queues the tasks of a home's batch; reports those that no upstream here can run as not started.
-    pub(crate) fn place(&mut self, now: Timestamp, home: Incarnation, batch: RunBatch) {
-        let Some(batch_key) = self.admit(now, home, batch) else {
+    pub(crate) fn place(
+        &mut self,
+        now: Timestamp,
+        home: Incarnation,
+        as_of: Option<Timestamp>,
+        batch: RunBatch,
+    ) {
+        let Some(batch_key) = self.admit(now, home, as_of, batch) else {
             return;
         };
         if self.is_leaving {
@@ -56,6 +62,7 @@
         &mut self,
         now: Timestamp,
         home: Incarnation,
+        as_of: Option<Timestamp>,
         batch: RunBatch,
     ) -> Option<HeldBatchKey> {
         let number = batch.number;
@@ -65,16 +72,22 @@
             return None;
         }
         *highest = number;
-        let held = HeldBatch::new(home, batch, now)?;
+        let held = HeldBatch::new(home, batch, as_of, now)?;
         let batch_key = self.batches.insert(held);
         self.by_number.insert((home, number), batch_key);
         Some(batch_key)
     }
 
     /// Refuses a batch whose message was in flight for too long.
-    pub(crate) fn refuse_stale(&mut self, now: Timestamp, home: Incarnation, batch: RunBatch) {
+    pub(crate) fn refuse_stale(
+        &mut self,
+        now: Timestamp,
+        home: Incarnation,
+        as_of: Option<Timestamp>,
+        batch: RunBatch,
+    ) {
         tracing::warn!(job = %batch.job, batch = batch.number, "batch refused: too long in flight");
-        if let Some(batch_key) = self.admit(now, home, batch) {
+        if let Some(batch_key) = self.admit(now, home, as_of, batch) {
             self.refuse_all(batch_key, NotStarted::Stale);
         }
     }
@@ -91,10 +104,11 @@
         &mut self,
         now: Timestamp,
         home: Incarnation,
+        as_of: Option<Timestamp>,
         upstream: &str,
         batch: RunBatch,
     ) {
-        let Some(batch_key) = self.admit(now, home, batch) else {
+        let Some(batch_key) = self.admit(now, home, as_of, batch) else {
             return;
         };
         for task in 0..self.batches[batch_key].tasks.len() {
@@ -153,8 +167,8 @@
             return false;
         };
         let home = self.batches[batch_key].home;
-        let is_wanted =
-            self.requesters.is_current(now, home) && self.has_short_lease(now, upstream_key, home);
+        let is_wanted = self.requesters.is_current(now, home)
+            && self.has_short_lease(now, upstream_key, batch_key);
         let batch = &mut self.batches[batch_key];
         let upstream = &mut self.upstreams[upstream_key];
         if !is_wanted || upstream.unclaimed_runs.swap_remove(&run).is_none() {
@@ -217,33 +231,30 @@
         let Some(task) = task else {
             return;
         };
-        let name = (batch.home, batch.number);
+        let dropped = DroppedTask {
+            batch: (batch.home, batch.number),
+            wanted_as_of: self.wanted_as_of(batch_key),
+        };
         let (state, run) = (batch.tasks[task].state, batch.run(task));
         if let HeldState::Running(upstream_key) = state {
-            self.stop_dropped(now, upstream_key, run, name);
+            self.stop_dropped(now, upstream_key, run, dropped);
         }
         self.queue.retain(|queued| *queued != (batch_key, task));
         self.close_task(batch_key, task, None);
         self.is_dirty = true;
     }
 
-    /// Stops a run of a dropped batch or task; the batch, by home and number, counts as held until the run
-    /// has ended.
+    /// Stops a run of a dropped batch or task; the batch counts as held until the run has ended.
     fn stop_dropped(
         &mut self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
         run: RunId,
-        batch: (Incarnation, u64),
+        dropped: DroppedTask,
     ) {
-        // What the home still wants later says nothing of this run any more.
-        let wanted_as_of = self.requesters.as_of(batch.0);
         let upstream = self.upstreams.get_mut(upstream_key);
         if let Some(leased) = upstream.and_then(|upstream| upstream.runs.get_mut(&run)) {
-            leased.dropped = Some(DroppedTask {
-                batch,
-                wanted_as_of,
-            });
+            leased.dropped = Some(dropped);
         }
         self.stop(now, upstream_key, run, StopReason::Cancelled);
     }
@@ -312,6 +323,8 @@
     }
 
     fn drop_batch(&mut self, now: Timestamp, batch_key: HeldBatchKey) {
+        // What its home wants later says nothing of these runs any more.
+        let wanted_as_of = self.wanted_as_of(batch_key);
         let Some(batch) = self.remove_batch(batch_key) else {
             return;
         };
@@ -319,8 +332,11 @@
             let HeldState::Running(upstream_key) = batch.tasks[task].state else {
                 continue;
             };
-            let name = (batch.home, batch.number);
-            self.stop_dropped(now, upstream_key, batch.run(task), name);
+            let dropped = DroppedTask {
+                batch: (batch.home, batch.number),
+                wanted_as_of,
+            };
+            self.stop_dropped(now, upstream_key, batch.run(task), dropped);
         }
         self.queue.retain(|(queued, _)| *queued != batch_key);
         self.is_dirty = true;
--- a/lib/src/runs/owner_leases.rs
+++ b/lib/src/runs/owner_leases.rs
@@ -5,29 +5,29 @@
 use super::leased_upstream::Contact;
 use super::leased_upstream::LeasedUpstream;
 use super::owner::Owner;
+use super::run_id::HeldBatchKey;
 use super::run_id::LeasedUpstreamKey;
 use super::run_order::RunOrder;
 use super::whole_ms::whole_ms;
-use crate::id::Incarnation;
 use crate::time::Timestamp;
 
 impl Owner {
-    /// Whether the lease that an upstream has already ends in time for a run of this home.
+    /// Whether the lease that an upstream has already ends in time for a run of this batch.
     pub(crate) fn has_short_lease(
         &self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
-        home: Incarnation,
+        batch_key: HeldBatchKey,
     ) -> bool {
-        let Some(wanted_as_of) = self.requesters.as_of(home) else {
+        let Some(wanted_as_of) = self.wanted_as_of(batch_key) else {
             return false;
         };
         let left = self.upstreams[upstream_key].lease_left(now);
         self.lease_bound.allows(now, wanted_as_of, left)
     }
 
-    /// Extends the lease on an upstream as far as all of its runs allow, with a run of `starting` beside
-    /// them; returns its end on the upstream's clock, or none if it must not be extended.
+    /// Extends the lease on an upstream as far as all of its runs allow, with a run of the batch `starting`
+    /// beside them; returns its end on the upstream's clock, or none if it must not be extended.
     ///
     /// A lease on an upstream is one for all of its runs, and every order that extends one gets its end
     /// here.
@@ -35,7 +35,7 @@
         &mut self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
-        starting: Option<Incarnation>,
+        starting: Option<HeldBatchKey>,
     ) -> Option<u64> {
         let lease = self.lease_on(now, upstream_key, starting)?;
         self.upstreams[upstream_key].extend_lease(now, lease)
@@ -46,16 +46,24 @@
         &self,
         now: Timestamp,
         upstream_key: LeasedUpstreamKey,
-        starting: Option<Incarnation>,
+        starting: Option<HeldBatchKey>,
     ) -> Option<Duration> {
         let upstream = self.upstreams.get(upstream_key)?;
-        let starting = starting.map(|home| self.requesters.as_of(home));
+        let starting = starting.map(|batch_key| self.wanted_as_of(batch_key));
         let wanted = self.wanted_times(upstream).chain(starting);
         // A run of which nothing is known comes before all others.
         let oldest = wanted.min()??;
         self.lease_bound.lease_at(now, oldest)
     }
 
+    /// The latest time as of which the callers of a batch's job are known to have waited; none where nothing
+    /// is known.
+    pub(crate) fn wanted_as_of(&self, batch_key: HeldBatchKey) -> Option<Timestamp> {
+        let batch = self.batches.get(batch_key)?;
+        let reported = self.requesters.reported_as_of(batch.home);
+        reported.max(batch.requested_as_of)
+    }
+
     /// For each run that may be on an upstream, the latest time as of which its caller is known to have
     /// waited for it; none where nothing is known.
     fn wanted_times<'a>(
@@ -63,10 +71,7 @@
         upstream: &'a LeasedUpstream,
     ) -> impl Iterator<Item = Option<Timestamp>> + 'a {
         let ordered = upstream.runs.values().map(|run| match run.task {
-            Some((batch_key, _)) => {
-                let home = self.batches.get(batch_key).map(|batch| batch.home);
-                home.and_then(|home| self.requesters.as_of(home))
-            }
+            Some((batch_key, _)) => self.wanted_as_of(batch_key),
             None => run.dropped.and_then(|dropped| dropped.wanted_as_of),
         });
         // Their homes may have ended, however recently their last owner extended the lease.
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -183,7 +183,7 @@
                     false => upstream.can_take_work(now),
                 }
                 && self.is_within_limit(upstream_key, batch_key, task)
-                && self.has_short_lease(now, upstream_key, batch.home);
+                && self.has_short_lease(now, upstream_key, batch_key);
             if !is_candidate {
                 continue;
             }
@@ -228,7 +228,7 @@
         task: TaskIndex,
     ) -> bool {
         let home = self.batches[batch_key].home;
-        let Some(lease_until_ms) = self.extend_lease(now, upstream_key, Some(home)) else {
+        let Some(lease_until_ms) = self.extend_lease(now, upstream_key, Some(batch_key)) else {
             return false;
         };
         let batch = &mut self.batches[batch_key];
--- a/lib/src/runs/requester_contacts.rs
+++ b/lib/src/runs/requester_contacts.rs
@@ -25,6 +25,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct RequesterContacts {
     as_of: IndexMap<Incarnation, Timestamp>,
+    /// The latest such time by a report, which names all that a requester wants. Another message shows nothing
+    /// of what was requested before it: the message that cancelled that may be lost.
+    reported_as_of: IndexMap<Incarnation, Timestamp>,
 }
 
 impl RequesterContacts {
@@ -37,6 +40,7 @@
     /// Forgets a requester that has ended.
     pub(crate) fn forget(&mut self, requester: Incarnation) {
         self.as_of.swap_remove(&requester);
+        self.reported_as_of.swap_remove(&requester);
     }
 
     /// The latest time of which a requester is known to have wanted what it had requested; none when there
@@ -45,6 +49,19 @@
         self.as_of.get(&requester).copied()
     }
 
+    /// Records what a report of a requester tells of, which names all that it wants.
+    pub(crate) fn record_report(&mut self, requester: Incarnation, as_of: Timestamp) {
+        self.record(requester, as_of);
+        let latest = self.reported_as_of.entry(requester).or_insert(as_of);
+        *latest = as_of.max(*latest);
+    }
+
+    /// The latest time of which a requester is reported to have wanted all that it had requested then; none
+    /// without a report.
+    pub(crate) fn reported_as_of(&self, requester: Incarnation) -> Option<Timestamp> {
+        self.reported_as_of.get(&requester).copied()
+    }
+
     /// How old the latest knowledge of a requester is; none when there is none.
     pub(crate) fn age(&self, now: Timestamp, requester: Incarnation) -> Option<Duration> {
         self.as_of(requester).map(|as_of| now.since(as_of))
--- a/lib/src/runs/run_dispatcher.rs
+++ b/lib/src/runs/run_dispatcher.rs
@@ -298,7 +298,7 @@
     fn record_own_inputs(&mut self) {
         let read_until = self.now.before(self.inputs.age(self.now));
         let own = self.settings.incarnation;
-        self.owner.requesters.record(own, read_until);
+        self.owner.requesters.record_report(own, read_until);
     }
 
     fn handle_mark(&mut self, as_of: Timestamp) {
--- a/lib/tests/lease_bound.rs
+++ b/lib/tests/lease_bound.rs
@@ -128,3 +128,28 @@
         assert!(site.long_leases().is_empty(), "{:?}", site.long_leases());
     }
 }
+
+/// Guards against a run whose cancellation was lost, kept alive since its home requests other runs.
+#[test]
+fn later_requests_of_a_home_extend_no_lease_of_a_cancelled_run() {
+    for phase_ms in (0..150).step_by(15) {
+        let mut site = started(3, OWNER, RETRY_PAUSE_MS);
+        site.submit(OTHER_HOME, "look", OTHER_JOB, &run_job(1, 6_800, 9_000));
+        site.submit(HOME, "look", JOB, &run_job(1, 2_000, 9_000));
+        site.run_ms(700 + phase_ms);
+        assert_eq!(site.running_tasks(JOB), 1);
+        site.delay_stops(true);
+        site.cut_one_way(HOME, OWNER, true);
+        site.drop_caller(JOB);
+        site.run_ms(1);
+        site.cut_one_way(HOME, OWNER, false);
+        for number in 0..30 {
+            let id = format!("{:016x}", 0xc0 + number);
+            site.submit(HOME, "look", &id, &run_job(1, 100, 2));
+            site.run_ms(5);
+        }
+        site.run_ms(RETRY_PAUSE_MS - MAX_STOP_MS - 151);
+        assert_eq!(site.running_tasks(JOB), 0, "phase {phase_ms} ms");
+        assert!(site.long_leases().is_empty(), "{:?}", site.long_leases());
+    }
+}
