--- a/lib/src/runs/leased_upstream.rs
+++ b/lib/src/runs/leased_upstream.rs
@@ -53,6 +53,8 @@
     pub(crate) since_order: OrderId,
     /// Whether homes were asked to claim it.
     pub(crate) is_announced: bool,
+    /// Whether a stop was ordered that is not confirmed, and is repeated until it is.
+    pub(crate) is_stopping: bool,
 }
 
 /// An upstream that this instance owns.
--- a/lib/src/runs/owner_answers.rs
+++ b/lib/src/runs/owner_answers.rs
@@ -235,7 +235,11 @@
 
     fn stop_acknowledged(&mut self, now: Timestamp, upstream_key: LeasedUpstreamKey, run: RunId) {
         let since_order = self.next_order_id();
-        let Some(leased) = self.upstreams[upstream_key].runs.get_mut(&run) else {
+        let upstream = &mut self.upstreams[upstream_key];
+        if let Some(unclaimed) = upstream.unclaimed_runs.get_mut(&run) {
+            unclaimed.is_stopping = false;
+        }
+        let Some(leased) = upstream.runs.get_mut(&run) else {
             return;
         };
         let RunPhase::Stopping {
@@ -365,13 +369,13 @@
         let Some(upstream) = self.upstreams.get_mut(upstream_key) else {
             return;
         };
-        let due = upstream.unclaimed_runs.iter();
-        let due = due.filter(|(_, unclaimed)| unclaimed.is_announced);
-        let due: Vec<RunId> = due.map(|(run, _)| *run).collect();
-        if due.is_empty() {
+        let announced = upstream.unclaimed_runs.iter();
+        let announced = announced.filter(|(_, unclaimed)| unclaimed.is_announced);
+        if announced.clone().next().is_none() {
             return;
         }
-        for run in due {
+        let due = announced.filter(|(_, unclaimed)| !unclaimed.is_stopping);
+        for run in due.map(|(run, _)| *run).collect::<Vec<RunId>>() {
             self.stop(now, upstream_key, run, StopReason::Unclaimed);
         }
         let again = OwnerTimer::ClaimTimeout(upstream_key);
--- a/lib/src/runs/owner_contact.rs
+++ b/lib/src/runs/owner_contact.rs
@@ -84,7 +84,12 @@
             Contact::Reachable => BUSY_RENEW_WAIT,
             _ => Duration::ZERO,
         };
-        upstream.is_lease_withheld = !upstream.unclaimed_runs.is_empty();
+        let (unclaimed, claimed) = (upstream.unclaimed_runs.len(), upstream.runs.len());
+        let was_withheld = std::mem::replace(&mut upstream.is_lease_withheld, unclaimed > 0);
+        if unclaimed > 0 && claimed > 0 && !was_withheld {
+            let id = &upstream.listed.id;
+            tracing::info!(upstream = %id, unclaimed, claimed, "lease not extended beside unclaimed runs");
+        }
         // Leases are not renewed on an upstream that does not answer, so that they expire in time.
         let is_renewed = upstream.contact == Contact::Reachable && !upstream.has_missed_renew;
         // A run that starts on an idle upstream brings its own lease.
--- a/lib/src/runs/owner_reports.rs
+++ b/lib/src/runs/owner_reports.rs
@@ -196,6 +196,7 @@
                         .or_insert(UnclaimedRun {
                             since_order: next_order,
                             is_announced: false,
+                            is_stopping: false,
                         });
                 }
             }
--- a/lib/src/runs/owner_starts.rs
+++ b/lib/src/runs/owner_starts.rs
@@ -299,6 +299,9 @@
                 acknowledged: None,
             };
         }
+        if let Some(unclaimed) = upstream.unclaimed_runs.get_mut(&run) {
+            unclaimed.is_stopping = true;
+        }
         tracing::info!(
             job = %run.task.job, run = %run, upstream = %upstream.listed.id, fence, %reason,
             "stop ordered"
