--- a/entry/tests/settings_check.rs
+++ b/entry/tests/settings_check.rs
@@ -69,6 +69,27 @@
 }
 
 /// Guards against an instance that starts with a capacity or a policy that it cannot have.
+#[test]
+fn pause_of_callers_bounds_leases() -> TestResult {
+    for (fields, pause_ms, stop_ms) in [
+        (json!({}), 1_300, 50),
+        (
+            json!({ "caller_retry_pause_ms": 900, "max_stop_ms": 20 }),
+            900,
+            20,
+        ),
+    ] {
+        let mut settings = valid_settings();
+        settings["leased_runs"] = fields;
+        settings["leased_runs"]["ready_address"] = json!("127.0.0.1:8083");
+        let leased = Settings::parse(&settings.to_string())?.leased_runs;
+        let leased = leased.expect("the settings have leased runs");
+        assert_eq!(leased.caller_retry_pause_ms, pause_ms);
+        assert_eq!(leased.max_stop_ms, stop_ms);
+    }
+    Ok(())
+}
+
 #[test]
 fn invalid_capacity_and_policy_are_reported() {
     let table = [
@@ -87,6 +108,11 @@
             json!({ "processor": { "share": 1, "cores": -1 } }),
         ),
         ("/leased_runs/overload", json!({ "overload": "none" })),
+        (
+            "/leased_runs/caller_retry_pause_ms",
+            json!({ "caller_retry_pause_ms": 100 }),
+        ),
+        ("/leased_runs/max_stop_ms", json!({ "max_stop_ms": 1_000 })),
     ];
     for (path, fields) in table {
         let mut settings = valid_settings();
