--- a/entry/tests/fault_soak/main.rs
+++ b/entry/tests/fault_soak/main.rs
@@ -275,6 +275,12 @@
         .iter()
         .map(|upstream| upstream.running())
         .sum();
+    let long_leases = count_log_lines(&site, &lock(&state), "lease outlasts the pause");
+    if long_leases > 0 {
+        violations.push(format!(
+            "{long_leases} leases outlast the pause of a caller"
+        ));
+    }
     if running > 0 {
         violations.push(format!("{running} runs left after {RUN_END_TIMEOUT:?}"));
     }
@@ -300,14 +306,19 @@
     Err(format!("after the faults {injected:?}: {violations:#?}").into())
 }
 
-/// Describes how many jobs were delegated, completed, failed and refused.
-fn answer_counts(site: &ProcessSite, state: &SoakState) -> String {
+/// Returns the number of log lines of all processes so far that contain a text.
+fn count_log_lines(site: &ProcessSite, state: &SoakState, text: &str) -> usize {
     let running = site
         .instances
         .iter()
         .flat_map(|instance| instance.process.output());
     let lines = running.chain(state.ended_process_logs.iter().cloned());
-    let delegated = lines.filter(|line| line.contains("job delegated")).count();
+    lines.filter(|line| line.contains(text)).count()
+}
+
+/// Describes how many jobs were delegated, completed, failed and refused.
+fn answer_counts(site: &ProcessSite, state: &SoakState) -> String {
+    let delegated = count_log_lines(site, state, "job delegated");
     let requests = state.requests.iter();
     let answers: Vec<&CallerAnswer> = requests.filter_map(|it| it.answer.as_ref()).collect();
     let count = |is_counted: &dyn Fn(&CallerAnswer) -> bool| {
